--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -153,7 +153,12 @@
     loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter))
     gc.collect()
     gc.freeze()  # what is here now stays: the collector need not walk it again
-    log.info("ready")
+    log.info(
+        "ready: gateway %d of %d, %d descriptors, counter waits %.0f ms, idle connections end after %.1f s, "
+        "retry after %.2f s at most",
+        config.settings.index, config.settings.gateways, config.sockets,
+        config.settings.counter_timeout * 1000, timing.conn_idle, config.settings.max_retry_after,
+    )  # fmt: skip
     await stop.wait()
     log.info("stopping")
     frontend.drain()
--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import re
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 CHECK = 0.5  # seconds between two looks at the line
+REPORT = 20  # looks between two log lines on how the calls ended
 PING = 2.0  # silent seconds until a ping keeps the connection: an idle one is closed
 DEAD = 1.5  # seconds that the oldest unanswered line may wait before the connection is given up
 DIAL_TIMEOUT = 1.0
@@ -136,6 +137,7 @@
         # and one new, an answer that overtakes another waits for it here (for the time-out at most).
         self._order = dict[int, deque[_Call]]()
         self._failing, self._dialed = False, 0.0
+        self._seen, self._looks = Counter[str](), 0
         self._dial: asyncio.Task[None] | None = None
         self._check_at: asyncio.TimerHandle | None = None
 
@@ -181,6 +183,7 @@
         if call.result is not None or call.name is None:
             return
         call.result = status, total
+        self._seen[status.value] += 1
         if call.timer is not None:
             call.timer.cancel()
         line = self._order[call.name]
@@ -193,6 +196,7 @@
 
     def lost(self, link: _Link) -> None:
         """A connection has ended: the one in use is replaced at once, and what waits goes out on the next."""
+        self._seen["connections ended"] += 1
         self._left.discard(link)
         if link is self._link:
             self._link = None
@@ -212,6 +216,11 @@
     def _check(self) -> None:
         """Redial a lost connection, ping an idle one, give up a silent one."""
         self._check_at = self._loop.call_later(CHECK, self._check)
+        self._looks += 1
+        if self._looks % REPORT == 0 and self._seen:
+            told = ", ".join(f"{what} {number}" for what, number in sorted(self._seen.items()))
+            log.info("counter calls: %s", told)
+            self._seen.clear()
         now, link = self._loop.time(), self._link
         for left in list(self._left):
             if left.written and now - left.written[0].sent > DEAD:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -13,6 +13,7 @@
 import re
 import struct
 import termios
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -27,6 +28,7 @@
 PER_SERVER = 64  # connections to one server
 IDLE_SHARE = 0.5  # of the time after which servers close: a request must not cross that closing
 SWEEP = 1.0  # seconds between two looks for idle connections
+REPORT = 10  # looks between two log lines on what became of the connections
 # Seconds that a connection rests before its next request: what a server sends behind an answer (a second
 # copy, noise) comes when nothing waits there, and closes it. On a fresh one it would answer the next request.
 REST = 0.03
@@ -139,8 +141,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        if self.exchange is not None and self.idle_since is not None and self._received == 0:
-            self._upstream.was_stale(self)
+        if self.exchange is not None:
+            self._upstream.broke(self)
+            if self.idle_since is not None and self._received == 0:
+                self._upstream.was_stale(self)
         self._upstream.lost(self)
         self._calm()
         if (exchange := self.exchange) is not None:
@@ -279,6 +283,7 @@
         self._servers = dict[str, _Server]()
         self._open = 0
         self._dials = set[asyncio.Task[None]]()
+        self._seen, self._looks = Counter[str](), 0
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
     def update(self, name: str, dial: str, up: bool) -> None:
@@ -321,10 +326,12 @@
         loop = asyncio.get_running_loop()
         exchange.timer = loop.call_later(wait, self._expired, exchange)
         if (connection := self._take_idle(server)) is not None:
+            self._seen["reused"] += 1
             return self._write(connection, exchange)
         if server.open >= PER_SERVER or (self._open >= self._max and not self._make_room()):
             return self.end(exchange, Status.FULL)
         server.open, self._open = server.open + 1, self._open + 1
+        self._seen["opened"] += 1
         dial = loop.create_task(self._dial(server, exchange))
         self._dials.add(dial)
         dial.add_done_callback(self._dials.discard)
@@ -354,6 +361,10 @@
         else:
             transport.close()
 
+    def broke(self, connection: _Connection) -> None:
+        """A connection broke under a request."""
+        self._seen["broke fresh" if connection.idle_since is None else "broke kept"] += 1
+
     def was_stale(self, connection: _Connection) -> None:
         """A kept connection broke under its next request."""
         server, now = connection.server, self._clock()
@@ -427,6 +438,7 @@
             # After a stall of this process a rest is over at once, with what came in it still unread.
             if connection.rested < longest and not connection.unread:
                 return connection
+            self._seen["too long idle"] += 1
             connection.transport.close()
         return None
 
@@ -453,3 +465,8 @@
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         for server in self._servers.values():
             self._close_idle(server, self._clock() - self._idle_for)
+        self._looks += 1
+        if self._looks % REPORT == 0 and self._seen:
+            told = ", ".join(f"{what} {number}" for what, number in sorted(self._seen.items()))
+            log.info("connections: %s; open %d", told, self._open)
+            self._seen.clear()
