Count only breaks at once as connections closed while idle, and learn it for all

The new log lines show 420 opened, 157 reused and 226 kept ones dropped as too long idle (one node, 10 s).

Now a break counts only within 15 ms of the write, the trusted rest has a lower bound, and one limit holds for all servers with a distrust that doubles while it recurs.

--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -36,8 +36,13 @@
 # time-out, much later, and that speaks of a server that gives no sign of life.
 BEGUN = 0.5
 # Where kept connections break at their next request, before any byte of an answer, they were closed in
-# silence: for so many seconds none is kept that has been idle for so long.
-DISTRUST = 10.0
+# silence: for so many seconds none is kept that has been idle for so long. What was closed breaks as soon as
+# it is written to; a break further on in an exchange says nothing of idleness. Where those counted, a network
+# that drops connections by chance shortened the trusted rest until no connection was kept at all.
+DISTRUST, MOST_DISTRUST = 10.0, 160.0
+AT_ONCE = 0.015  # seconds from the write to the break of a closed connection: a way there and back
+TRUSTED = 0.7  # of the rest that was not outlived
+LEAST_REST = 0.05  # seconds idle that are trusted whatever breaks: chance alone must not end all reuse
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
 LENGTH = re.compile(rb"[0-9]{1,9}")
 LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
@@ -87,8 +92,6 @@
     address: tuple[str, int]
     up: bool = True
     open: int = 0
-    stale_after: float = math.inf  # idle seconds that a kept connection here has not outlived
-    stale_until: float = 0.0
     idle: list[_Connection] = field(default_factory=list)  # the freshest last
 
 
@@ -284,6 +287,8 @@
         self._open = 0
         self._dials = set[asyncio.Task[None]]()
         self._seen, self._looks = Counter[str](), 0
+        # Idle seconds that a kept connection has not outlived, until when that is heeded, and for how long.
+        self._stale_after, self._stale_until, self._distrust = math.inf, 0.0, DISTRUST
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
     def update(self, name: str, dial: str, up: bool) -> None:
@@ -366,10 +371,18 @@
         self._seen["broke fresh" if connection.idle_since is None else "broke kept"] += 1
 
     def was_stale(self, connection: _Connection) -> None:
-        """A kept connection broke under its next request."""
-        server, now = connection.server, self._clock()
-        known = server.stale_after if now < server.stale_until else math.inf
-        server.stale_after, server.stale_until = min(known, 0.5 * connection.rested), now + DISTRUST
+        """A kept connection broke under its next request. What closes idle ones is mostly one box or setting
+        for all servers: what one teaches holds for all, or each of them would cost a request again."""
+        now, rested = self._clock(), connection.rested
+        if now - ((connection.idle_since or 0.0) + rested) > AT_ONCE:
+            return
+        self._seen["closed while idle"] += 1
+        known = self._stale_after if now < self._stale_until else math.inf
+        if now >= self._stale_until:
+            again = now < self._stale_until + self._distrust  # it still happens: ask less often
+            self._distrust = min(MOST_DISTRUST, 2 * self._distrust) if again else DISTRUST
+        self._stale_after = max(LEAST_REST, min(known, TRUSTED * rested))
+        self._stale_until = now + self._distrust
 
     def lost(self, connection: _Connection) -> None:
         """A connection has ended."""
@@ -426,7 +439,7 @@
     def _take_idle(self, server: _Server) -> _Connection | None:
         """The freshest connection that has rested: the least likely to be closing at the other end."""
         now = self._clock()
-        longest = min(self._idle_for, server.stale_after) if now < server.stale_until else self._idle_for
+        longest = min(self._idle_for, self._stale_after) if now < self._stale_until else self._idle_for
         for at in range(len(server.idle) - 1, -1, -1):
             connection = server.idle[at]
             connection.rested = now - (connection.idle_since or 0.0)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -479,3 +479,60 @@
             pool.upstream.close()
 
     run(main())
+
+
+async def breaks_after(pool: Pool, rest: float, into: float, server: str = "s1") -> Exchange:
+    """One exchange on a connection that has rested for so long and breaks so far into its next request."""
+    assert (await pool.fetch(server=server)).status is Status.OK
+    start = pool.clock()
+    pool.upstream._clock = pool.clock = lambda: start + rest
+    _, ended = pool.start(server=server)
+    pool.upstream._clock = pool.clock = lambda: start + rest + into
+    return await ended
+
+
+async def once(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answers a connection's first request and breaks at its second."""
+    await read_message(reader)
+    writer.write(OK)
+    await read_message(reader)
+
+
+@pytest.mark.parametrize(("into", "kept"), [(0.06, True), (0.001, False)])
+def test_only_a_break_at_once_tells_of_a_connection_closed_while_idle(into: float, kept: bool) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(once) as dial, listening(origin.talk) as sound:
+            pool = Pool(dial)
+            pool.upstream.update("s2", sound, True)
+            start = pool.clock()
+            pool.upstream._clock = pool.clock = lambda: start
+            assert (await breaks_after(pool, 0.2, into)).status is Status.BROKEN
+            await pool.fetch(server="s2")
+            later = pool.clock() + 0.18  # more than is trusted of the rest that was not outlived
+            pool.upstream._clock = pool.clock = lambda: later
+            await pool.fetch(server="s2")
+            assert origin.connections == (1 if kept else 2)
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_breaks_by_chance_do_not_end_the_reuse_of_connections() -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(once) as dial, listening(origin.talk) as sound:
+            pool = Pool(dial)
+            pool.upstream.update("s2", sound, True)
+            start = pool.clock()
+            pool.upstream._clock = pool.clock = lambda: start
+            for _ in range(5):  # each at the shortest rest there is
+                assert (await breaks_after(pool, 0.031, 0.001)).status is Status.BROKEN
+            await pool.fetch(server="s2")
+            later = pool.clock() + 0.04
+            pool.upstream._clock = pool.clock = lambda: later
+            await pool.fetch(server="s2")
+            assert origin.connections == 1
+            pool.upstream.close()
+
+    run(main())
