Settle the true units that an answer tells with the store and the counter

Evidence: the site says units are 'after' (the request guesses, the answer tells); neither the adapter nor the node handed the told number on, Outcome had no place for it, and the counter was told guesses only.

--- a/cypresspulley/benchlink.py
+++ b/cypresspulley/benchlink.py
@@ -122,7 +122,7 @@
         )  # fmt: skip
     if message == "resolved":
         status = _word(STATUS, message, v[3])
-        return api.Outcome(v[0], v[1], v[2], status, v[4] or 0.0, bool(v[5]), _report(v[8]))
+        return api.Outcome(v[0], v[1], v[2], status, v[4] or 0.0, bool(v[5]), _report(v[8]), v[7] or None)
     if message == "count_result":
         return api.Counted(v[1], _word(STATUS, message, v[3]), v[2] or 0.0)
     if message == "timeout_fired":
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -40,8 +40,8 @@
 
 class _Request:
     __slots__ = (
-        "account", "born", "cls", "deadline", "due", "id", "out", "ran", "rank", "repeat", "tries", "units",
-        "work",
+        "account", "born", "cls", "deadline", "due", "id", "inside", "out", "ran", "rank", "repeat", "tries",
+        "units", "work",
     )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account) -> None:
@@ -49,7 +49,11 @@
         self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
         self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
-        self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
+        self.work, self.rank, self.inside = (
+            0.0,
+            1.0,
+            False,
+        )  # expected work; place among the recent by worth per work
         self.tries, self.out = list[tuple[_Server, float]](), dict[int, _Server]()
         self.ran: tuple[_Server, float] | None = None  # first attempt that may have run
 
@@ -220,9 +224,10 @@
         self._tokens -= r.work / self._mean if self._sum is not None else float("-inf")  # full when fresh
         self._admitted, self._retries = self._admitted + 1, min(10.0, self._retries + 0.1)
         a.ceiling -= r.units if plan.ceiling_rate > 0 else 0.0
+        r.inside = inside
         if inside:
             a.floor = max(-r.units, a.floor - r.units)
-            a.level = max(0.0, a.level - (0.0 if counted else r.units))
+            a.level = min(a.level, max(0.0, a.level - (0.0 if counted else r.units)))  # settled, it may owe
             a.pending += r.units * (counted is None)
             if counted is None and a.pending >= 0.3 * min(a.level, plan.burst) / a.share and a.share > 1:
                 self._count(now, a)
@@ -355,6 +360,8 @@
             if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
                 s.quiet = now if s.open > 1e-9 else None
             self._learn(now, r, s, ev)
+            if ev.charged is not None and r.inside:
+                r.account.settle(min(ev.charged, self._set.max_units) - r.units)
             if s.open <= 1e-9:
                 s.quiet = None  # with nothing out it owes no answer, and none could ever end its silence
         if ev.status not in NEVER_RAN and r.ran is None and ev.attempt < len(r.tries):
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -138,6 +138,9 @@
     elapsed: float
     finished: bool
     report: Mapping[str, float]
+    charged: float | None = (
+        None  # the true units, told with a first good answer where units are settled after
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -171,8 +171,12 @@
         if attempt.status is api.Status.OK and (opened := self._close(id)) is not None:
             opened.request.respond(200, attempt.answer, attempt.answer_headers)
         finished = id not in self._open
+        # Only a good answer settles the units.
+        charged = attempt.charged if attempt.status is api.Status.OK else None
         self.feed(
-            api.Outcome(id, number, attempt.server, attempt.status, attempt.elapsed, finished, attempt.report)
+            api.Outcome(
+                id, number, attempt.server, attempt.status, attempt.elapsed, finished, attempt.report, charged
+            )
         )
 
     def _refuse(self, action: api.Refuse) -> None:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -45,7 +45,8 @@
 LEAST_REST = 0.05  # seconds idle that are trusted whatever breaks: chance alone must not end all reuse
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
 LENGTH = re.compile(rb"[0-9]{1,9}")
-LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
+LOAD, NOT_PROCESSED, CHARGED = b"x-server-load", b"x-not-processed", b"x-units-charged"
+UNITS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 Clock = Callable[[], float]
 
 
@@ -82,6 +83,7 @@
     answer_headers: bytes = b""
     answer: bytes = b""
     report: dict[str, float] = field(default_factory=dict)
+    charged: float | None = None  # the true units of the request
     connection: _Connection | None = None
     timer: asyncio.TimerHandle | None = None
 
@@ -113,6 +115,7 @@
         self._headers, self._body = list[bytes](), list[bytes]()
         self._head_size = self._size = self._received = 0
         self._load: bytes | None = None
+        self._charged: float | None = None
         self._length: int | None = None
         self._chunked = False
         self._not_processed = self._surplus = False
@@ -225,6 +228,8 @@
             self._chunked = True
         elif key == LOAD:
             self._load = value
+        elif key == CHARGED:
+            self._charged = float(value) if UNITS.fullmatch(value) else None
         elif key == NOT_PROCESSED:
             self._not_processed = value == b"1"
         elif key not in NOT_FORWARDED:
@@ -262,6 +267,7 @@
         self._calm()
         exchange.connection = None
         exchange.answer_headers, exchange.answer = b"".join(self._headers), b"".join(self._body)
+        exchange.charged = self._charged
         if self._load is not None:
             exchange.report = load_report(self._load.decode("latin-1"))
         # Bytes behind the answer, or of a request not yet out whole, must not meet the next request.
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -72,6 +72,12 @@
         whole = self.ceiling * self.share + plan.ceiling_rate * dt
         self.ceiling = min(plan.ceiling_burst, whole) / self.share
 
+    def settle(self, more: float) -> None:
+        """The answer told the true units: the quota counts those, and so does what the counter is told."""
+        self.level -= more
+        self.floor = min(self.floor_cap, self.floor - more)
+        self.pending += more
+
     def told(self, now: float, total: float, step: float, units: float) -> None:
         """The count answers: what the others used since the last total, and so what the store holds."""
         # A total that fell has expired, was flushed or restarted empty: what it holds came since.
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from cypresspulley.benchlink import Link, WireError
+from cypresspulley import interface as api
+from cypresspulley.benchlink import Link, WireError, event_from
 
 SETTINGS = {
     "classes": [{"name": "read", "aim_s": 1.0, "effect": "idempotent", "worth": 1.0, "group": "all"}],
@@ -88,3 +89,10 @@
     bad = dict(SETTINGS, n_instances=0)
     with pytest.raises(ValueError, match="gateways"):
         batch(Link(), 1.0, ["begin", 1, bad])
+
+
+def test_the_true_units_of_an_answer_reach_the_decisions() -> None:
+    told = event_from("resolved", [11, 0, "s1", "OK", 0.1, True, 0, 2.5, None], {})
+    assert isinstance(told, api.Outcome) and told.charged == 2.5
+    untold = event_from("resolved", [11, 0, "s1", "OK", 0.1, True, 0, 0, None], {})
+    assert isinstance(untold, api.Outcome) and untold.charged is None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -295,3 +295,16 @@
             assert " 200 " in (await limiter.fetch(ask()))[0]
 
     run(main())
+
+
+def test_units_charged_come_with_the_outcome_of_a_good_answer() -> None:
+    async def main() -> None:
+        script = Script(send_on)
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Units-Charged: 3\r\n\r\nhi"
+        origin = Origin(lambda _n: answer)
+        async with listening(origin.talk) as dial, Limiter(script, {"s1": dial}) as limiter:
+            assert " 200 " in (await limiter.fetch(ask()))[0]
+            (outcome,) = await script.until(api.Outcome)
+            assert outcome.charged == 3.0
+
+    run(main())
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -366,3 +366,18 @@
     sent_on = [r.request_class for at, _, r in world.sends if at > world.now - 10]
     assert len(sent_on) > 300
     assert sent_on.count("brisk") > 0.4 * len(sent_on)
+
+
+def test_true_units_are_settled_with_the_store_and_told_to_the_counter() -> None:
+    world = w.World(w.settings(max_units=4.0))
+    world.feed(w.servers("s0", "s1", "s2"))
+    for id in range(5):  # each is guessed at one unit and turns out to be three; two of them empty the store
+        world.advance(world.now + 0.01)
+        world.feed(w.request(id, "read", "small", "acct"))
+        world.answer_counts()
+        for (rid, attempt), (server, _) in list(world.out.items()):
+            world.feed(api.Outcome(rid, attempt, server, api.Status.OK, 0.1, True, {}, 3.0))
+    world.answer_counts()
+    assert len(world.sends) == 3
+    (total,) = world.totals.values()
+    assert total == pytest.approx(9.0, abs=2.0)  # but for what the last call has not told yet
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -536,3 +536,17 @@
             pool.upstream.close()
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    ("value", "charged"), [("3", 3.0), ("2.25", 2.25), ("-1", None), ("nan", None), ("", None), ("1e9", None)]
+)
+def test_the_units_charged_are_read_where_they_are_a_number(value: str, charged: float | None) -> None:
+    async def main() -> None:
+        origin = Origin(lambda _n: reply("200 OK", f"X-Units-Charged: {value}\r\n"))
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial)
+            assert (await pool.fetch()).charged == charged
+            pool.upstream.close()
+
+    run(main())
