Take counter calls that time out together for one sign, not for silence

Usual 6 to 11 ms; the time-outs came in clusters 1.1 s apart (2.9, 4.4, 5.6, 6.7, 7.8 s), at all gateways at the same moments, 4 to 15 calls each, and nearly every one of them was answered a few ms after its 30 ms. Lines at fault: Calls.ended counted every time-out of a burst, so two calls behind one queue were 'silence' for a second and cut the rate by 0.9 each; then all gateways came back together and made the next crowd.

--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -14,7 +14,7 @@
     def __init__(self, now: float, gateways: int, draw: float) -> None:
         self.rate, self.least = CALLS / gateways, 2 * CALLS / gateways / 100
         self.room = 0.2 * self.rate + draw  # in random debt: fresh fleets call in turn
-        self.at, self.broke, self.silent_until, self.misses = now, now, 0.0, 0
+        self.at, self.sign, self.silent_until, self.misses = now, now, 0.0, 0
 
     def left(self, now: float) -> float:
         """Calls that may be made now."""
@@ -25,19 +25,22 @@
     def ended(self, now: float, status: Status, made: float) -> None:
         """One sign of silence is a queue or a break; two with no answer between are silence, for a second.
 
-        Calls that were out together end together when their connection breaks: one event, one sign, and none
-        of what the counter bears. It serves as well behind a rough network or a balancer that drops
-        connections. It could do harm where a counter breaks each connection: every second call is then made
-        in vain, and each costs its request the time of a break.
+        Calls that were out together end together, when their connection breaks or behind one queue: one
+        event, one sign. Where each time-out of a burst counted, a crowd of calls passed for a silent counter,
+        and when its second was over all gateways came back at once, with all they owed, to the next crowd.
+
+        A break tells nothing of what the counter bears. It serves as well behind a rough network or a
+        balancer that drops connections. It could do harm where a counter breaks each connection: every
+        second call is then made in vain, and each costs its request the time of a break.
         """
+        fresh, self.sign = made >= self.sign, now if status is not Status.OK else self.sign
         if status is Status.OK:
             self.misses = 0
             self.rate = min(CALLS, self.rate * 1.01)
-        elif status is Status.BROKEN:
-            self.misses, self.broke = self.misses + (made >= self.broke), now
-        elif status is not Status.SPOILT:
+        elif status is not Status.SPOILT and fresh:
             self.misses += status is not Status.FULL
-            self.rate = max(self.least, self.rate * 0.9)
+            self.rate *= 1.0 if status is Status.BROKEN else 0.9
+            self.rate = max(self.least, self.rate)
         if status not in (Status.OK, Status.FULL, Status.SPOILT) and self.misses > 1:
             self.silent_until = now + 1.0
 
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -9,9 +9,12 @@
 from contextlib import contextmanager
 from dataclasses import replace
 
+import pytest
+
 from cypresspulley import interface as api
 from cypresspulley.decide import Gateway
 from cypresspulley.net.counter import CounterClient
+from cypresspulley.quota import Calls
 from tests.loopback import OK, SETTINGS, Limiter, Origin, Script, ask, listening, listing, run
 
 
@@ -209,3 +212,14 @@
             assert script.gateway._servers["s1"].cold_at is None
 
     run(main())
+
+
+def test_calls_that_time_out_together_are_one_sign_of_a_crowd_and_no_silence() -> None:
+    calls = Calls(100.0, 4, 0.0)
+    rate = calls.rate
+    for n in range(8):  # out together behind one queue, they time out one after the other
+        calls.ended(100.030 + n * 0.002, api.Status.TIMEOUT, 100.0 + n * 0.002)
+    assert calls.left(100.05) > 0
+    assert calls.rate == pytest.approx(0.9 * rate)
+    calls.ended(100.090, api.Status.TIMEOUT, 100.06)  # made after them and no answer since: it is silent
+    assert calls.left(100.1) == 0
