--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -203,13 +203,15 @@
             inside = expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()  # even share
         elif a.level < r.units or (plain and not a.thin):
             inside = a.level >= r.units
+        elif a.asking and not a.thin and r.deadline - now > 4 * self._set.counter_timeout:
+            return a.waiting.append(r.id)  # one call at a time: what comes meanwhile shares the next
         elif r.deadline - now < 3 * self._set.counter_timeout or chance < max(0.05, self._rng.random()):
             # Unasked, what comes again or often to this one gateway is most likely beyond its quota.
             likely = expected >= r.units and (calm or not (a.thin and (r.repeat or a.floor < r.units)))
             return self._launch(now, r, likely, counted=0.0 if a.thin else None)
         else:  # near the quota the counter is asked first, with the units where they will likely be granted
             step = 0.0 if r.repeat and a.thin else r.units / (max(0.4, chance) if a.thin else 1.0)
-            return self._count(now, a, r.id, step)
+            return self._count(now, a, (r.id,), step)
         self._launch(now, r, inside)
 
     def _launch(self, now: float, r: _Request, inside: bool, counted: float | None = None) -> None:
@@ -232,11 +234,12 @@
             if counted is None and a.pending >= 0.3 * min(a.level, plan.burst) / a.share and a.share > 1:
                 self._count(now, a)
 
-    def _count(self, now: float, a: Account, held: int | None = None, own: float = 0) -> None:
+    def _count(self, now: float, a: Account, held: tuple[int, ...] = (), own: float = 0) -> None:
         a.pending, a.level = a.pending + own, a.level - own
-        room = held is not None or own != 0 or self._calls.left(now) >= 1  # what is owed cannot wait
+        room = held or own != 0 or self._calls.left(now) >= 1  # what is owed cannot wait
         if room and self._set.has_counter and a.plan.rate > 0:
-            a.calls.append((a.pending, held, own if held is not None else 0.0, now))
+            a.asking = a.asking or bool(held)
+            a.calls.append((a.pending, held, own if held else 0.0, now))
             self._out.append(api.Count(a.name, LIFETIME, a.pending))
             self._calls.room, a.pending, a.asked = self._calls.room - 1, 0.0, now
 
@@ -253,20 +256,36 @@
             # What may have been added is taken for added: told twice it would be used twice.
             maybe = ev.status in (Status.TIMEOUT, Status.BROKEN, Status.SPOILT)
             a.pending += 0.0 if maybe else step
-        r = self._requests.get(-1 if held is None else held)
-        own = r.units if r else 0.0
-        left = a.level + units - own - (0 if ev.status is Status.OK else a.others * (now - a.synced))
-        if held is not None:
-            # Where the guess in the step was wrong the count gets the units back, or gets them at all.
-            used = own if left >= -1e-6 else 0.0
-            right = used if units == 0 else -units * (used == 0)
-            if right:
-                self._count(now, a, own=right)
-            if r is not None:
-                self._launch(now, r, used > 0, counted=(units or right) if used else 0.0)
+        if held:
+            self._granted(now, a, held, units, 0 if ev.status is Status.OK else a.others * (now - a.synced))
         if a.pending > 0.25 * a.plan.burst and ev.status is Status.OK:
             self._count(now, a)
-        a.level = max(a.level, 0.0)
+        a.level = max(
+            a.level, -sum(reserved for _, _, reserved, _ in a.calls)
+        )  # what is asked for is taken off
+
+    def _granted(self, now: float, a: Account, held: tuple[int, ...], units: float, others: float) -> None:
+        """Decide what has waited for a count, in the order of its coming, and ask for what came meanwhile."""
+        asked = [r for r in map(self._requests.get, held) if r is not None]
+        left, inside = a.level + units - others, dict[int, bool]()
+        for r in asked:
+            inside[r.id] = left - r.units >= -1e-6
+            left -= r.units * inside[r.id]
+        # Where the guess in the step was wrong the count gets the units back, or gets them at all.
+        used = sum(r.units for r in asked if inside[r.id])
+        right = used if units == 0 else min(0.0, used - units) * (not a.thin or used == 0)
+        waiting, a.waiting = a.waiting, []
+        if right and (a.thin or not waiting):
+            self._count(now, a, own=right)
+        else:
+            a.pending, a.level = a.pending + right, a.level - right  # the next call is about to go out
+        for r in asked:
+            self._launch(now, r, inside[r.id], counted=(units or right) if a.thin else r.units)
+        for r in [r for r in map(self._requests.get, waiting) if r is not None]:
+            self._quota(now, r)
+        a.asking, waiting, a.waiting = False, a.waiting, []
+        if waiting:
+            self._count(now, a, tuple(waiting), sum(self._requests[id].units for id in waiting))
 
     def _probed(self, now: float, ev: api.Probed) -> None:
         if ev.status is Status.OK and (s := self._servers.get(ev.server)) and s.lost:
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -36,7 +36,7 @@
         fresh, self.sign = made >= self.sign, now if status is not Status.OK else self.sign
         if status is Status.OK:
             self.misses = 0
-            self.rate = min(CALLS, self.rate * 1.01)
+            self.rate = min(CALLS, self.rate + 5.0 / self.rate)
         elif status is not Status.SPOILT and fresh:
             self.misses += status is not Status.FULL
             self.rate *= 1.0 if status is Status.BROKEN else 0.9
@@ -49,8 +49,8 @@
     """A customer's quota as this gateway knows it; many come once only, so it is kept small."""
 
     __slots__ = (
-        "asked", "at", "calls", "ceiling", "floor", "floor_cap", "level", "name", "open", "others",
-        "pending", "plan", "share", "synced", "thin", "total",
+        "asked", "asking", "at", "calls", "ceiling", "floor", "floor_cap", "level", "name", "open", "others",
+        "pending", "plan", "share", "synced", "thin", "total", "waiting",
     )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float) -> None:
@@ -66,7 +66,10 @@
         self.total: float | None = None
         self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
         self.pending, self.open = 0.0, 0  # own use that the counter has not been told; attempts out
-        self.calls = list[tuple[float, int | None, float, float]]()  # amount, who waits, its units, when
+        self.calls = list[
+            tuple[float, tuple[int, ...], float, float]
+        ]()  # amount, who waits, their units, when
+        self.asking, self.waiting = False, list[int]()  # whether such a call is out; who waits for the next
 
     def refill(self, now: float) -> None:
         plan, dt, self.at = self.plan, max(0.0, now - self.at), now
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -6,6 +6,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.decide import Gateway
+from cypresspulley.quota import Calls
 from tests import world as w
 
 
@@ -381,3 +382,34 @@
     assert len(world.sends) == 3
     (total,) = world.totals.values()
     assert total == pytest.approx(9.0, abs=2.0)  # but for what the last call has not told yet
+
+
+def test_requests_that_come_while_a_count_is_out_share_the_next_call() -> None:
+    plans = (api.Plan("small", rate=2.0, burst=6.0),)
+    world = w.World(w.settings(plans=plans))
+    world.feed(w.servers("s0", "s1", "s2"))
+    world.feed(w.request(0, "read", "small", "acct"))
+    (name,) = {call.name for call in world.counts}
+    world.totals[name] = 4.0  # the others have used four of the six units
+    world.answer_counts()
+    world.serve()
+    world.now += 1.0  # three are left, and the others may have used them
+    for id in range(1, 6):
+        world.feed(w.request(id, "read", "small", "acct"))
+    assert [call.amount for call in world.counts] == [1.0]
+    world.totals[name] += world.counts.pop().amount
+    world.feed(api.Counted(name, api.Status.OK, world.totals[name]))
+    assert [call.amount for call in world.counts] == [1.0, 3.0]  # one was plainly inside; the others together
+    world.answer_counts()
+    assert len(world.sends) == 4
+    assert sum(v == "refused" for v in world.answered.values()) == 2
+    assert world.totals[name] == pytest.approx(8.0)  # what was not granted was given back
+
+
+def test_counter_calls_grow_with_time_and_not_with_each_answer() -> None:
+    calls = Calls(100.0, 4, 0.0)
+    before, at = calls.rate, 100.0
+    for _ in range(150):  # two seconds of answers
+        at += 1 / before
+        calls.ended(at, api.Status.OK, at - 0.01)
+    assert before < calls.rate < before + 15
