Do not bound a fresh gateway by finished work it cannot have yet

Ruled out: the gate, the quota (0 to 13 refused then), servers out. Lines at fault: in _pick the fleet's bound is finished work a second times the stay, and a gateway that has just begun has finished nothing: four requests a server over all gateways were all it let out. s.rate then came up by 0.3 of the difference a second, so the bound lagged for several seconds more. Now the bound waits for the first load reading, as the design lets a fresh gateway admit freely, and a server's first second counts in full.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -139,7 +139,7 @@
         if done > 0 or sum(s.cold_at is None for s in self._mine) > len(self._mine) / 2:
             self._done_rate += 0.3 * done
         for s in self._servers.values():
-            s.rate, s.done = s.rate + 0.3 * (s.done / dt - s.rate), 0.0
+            s.rate, s.done = s.rate + (0.3 if s.rate else 1.0) * (s.done / dt - s.rate), 0.0
             if s.up and s.lost and s.trial and self._set.may_probe:
                 self._out.append(api.Probe(s.entry.name))  # a probe is a cheaper trial than a request
                 s.out_until = max(s.out_until, now + 1.5 * INTERVAL)
@@ -328,7 +328,9 @@
         # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
         quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
         quiet = quiet if len(quiet) <= len(up) / 2 else []
-        if sum(s.open for s in up if s not in quiet and s.out_until <= now) + 0.5 * r.work > fleet * part:
+        taken = sum(s.open for s in up if s not in quiet and s.out_until <= now) + 0.5 * r.work
+        # A fresh gateway has finished nothing yet: a bound by that would refuse what it is to admit freely.
+        if self._sum is not None and taken > fleet * part:
             return None
         least = max(0.5 * total / max(1, len(up)), 3.5 * self._mean)
         group, first = up, r.ran[0].entry if r.ran else None
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -413,3 +413,21 @@
         at += 1 / before
         calls.ended(at, api.Status.OK, at - 0.01)
     assert before < calls.rate < before + 15
+
+
+def test_a_fresh_gateway_is_not_bound_by_finished_work_it_cannot_have_yet() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers(*(f"s{n}" for n in range(9))))
+    for id in range(27):
+        world.feed(w.request(id))
+    assert len(world.sends) == 27  # 12 is four for each server, over three gateways
+
+
+def test_the_first_second_of_finished_work_counts_in_full() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers(*(f"s{n}" for n in range(3))))
+    next_id = run(world, 1.5, 90, 0)
+    before = len(world.sends)
+    for id in range(next_id, next_id + 60):
+        world.feed(w.request(id))
+    assert len(world.sends) - before > 30  # half of 90 a second times the stay of 0.8 s; 0.3 of it before
