Hold a server for hung after several silent time-outs in a row, not after one slow request

A gateway has one or two requests out at a server there and work has a long tail, so one slow request is such a silence. Lines at fault: dead = mute or ... in _learn. Now as many in a row must time out as time-outs are unusual (two below 7%), with no answer in between; on trial one is enough. The log tells why servers were put out.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -29,6 +29,7 @@
         self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
         self.out_until = self.out_for = self.budget = self.budget_at = 0.0
         self.trial = self.lost = self.gone = False
+        self.mutes = 0  # attempts in a row that timed out while no answer at all came
         self.row, self.broke = 0, 0.0  # breaks with no answer in between; when the last came
         self.quiet: float | None = None  # since when it owes answers and gives none
         self.cold_at: float | None = None
@@ -68,6 +69,10 @@
         self._ring, self._mine, self._out = list[_Server](), list[_Server](), list[Action]()
         self._accounts, self._names = dict[tuple[str, str], Account](), dict[int, Account]()
         self._base, self._why = dict[str, float](), dict[str, int]()  # idle latency of a class; causes to log
+        self._put, self._late = (
+            dict[str, int](),
+            0.0,
+        )  # why servers were put out; share of attempts that time out
         self._sum: float | None = None  # the controller's sum; None: fresh, admits freely
         self._u = self._tokens = self._reading = self._tries = self._admitted = self._done_rate = 0.0
         self._arrivals, self._held, self._timer = 0.0, 0, 0  # first tries a second; age of the readings
@@ -131,7 +136,9 @@
         if self._timer % 10 == 0 and self._why:
             text = ", ".join(f"{k} {n}" for k, n in sorted(self._why.items())) + f"; load {self._reading:.2f}"
             text += f", u {self._u:.0f}/s{', counter silent' * (now < self._calls.silent_until)}"
-            self._out, self._why = [*self._out, api.Log(f"turned away: {text}")], {}
+            text += f"; servers out {sum(s.out_until > now for s in self._ring)} of {len(self._ring)}"
+            text += "".join(f", {n} put out as {cause}" for cause, n in sorted(self._put.items()))
+            self._out, self._why, self._put = [*self._out, api.Log(f"turned away: {text}")], {}, {}
         # By what was finished: by what was sent, overdriven servers would pass for able ones.
         done = sum(s.done for s in self._servers.values()) / dt / max(1, len(self._mine)) - self._done_rate
         # What cold ones are let do says nothing of what a warm one bears. Where it counted, each cold server
@@ -405,6 +412,13 @@
         elif ev.status in (Status.FULL, Status.TIMEOUT):
             self._load.append(1.0)
         mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
+        # Nor is one slow request a hung server: where a gateway has one or two out there, the long tail of
+        # work is a silence that ends. More must time out in a row, as many as time-outs are usual; on trial
+        # one is enough.
+        s.mutes = s.mutes + 1 if mute else 0 if ev.status in ANSWERED else s.mutes
+        if ev.status in ANSWERED or ev.status is Status.TIMEOUT:
+            self._late += 0.02 * ((ev.status is Status.TIMEOUT) - self._late)
+        hung = mute and (s.trial or max(0.07, self._late) ** s.mutes < 0.005)
         # One connection that breaks is no dead server: more must, one behind the other (what was out together
         # breaks together), with no answer in between, in a row that is as long as breaks are usual. Where the
         # whole fleet breaks so often, a server that is dead but takes connections is found some tries later.
@@ -415,7 +429,7 @@
             s.row, s.broke = s.row + (vain or ev.elapsed <= now - s.broke), now
         elif ev.status in ANSWERED:
             s.row = 0
-        dead = mute or (snapped and s.row > 1 and (vain or max(0.05, usual) ** s.row < 0.005))
+        dead = hung or (snapped and s.row > 1 and (vain or max(0.05, usual) ** s.row < 0.005))
         bad = dead or snapped or ev.status is Status.ERROR
         if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL, Status.REJECTED):
             s.fails += (0.4 if dead else 0.2) * (bad - s.fails)
@@ -432,6 +446,8 @@
             and s.fails > usual * (2 - dead) + 0.25
             and (dead or outs < len(up) / 2)
         ):
+            cause = "hung" if hung else "lost" if dead and vain else "breaking" if dead else "failing"
+            self._put[cause] = self._put.get(cause, 0) + 1
             s.out_for = min(10.0, max(1.5, s.out_for * 2))
             s.out_until, s.trial, s.fails = now + s.out_for, True, 0.2
             self._choose(now)
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -431,3 +431,27 @@
     for id in range(next_id, next_id + 60):
         world.feed(w.request(id))
     assert len(world.sends) - before > 30  # half of 90 a second times the stay of 0.8 s; 0.3 of it before
+
+
+def test_one_slow_request_is_no_hung_server_and_several_in_a_row_are() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    next_id = run(world, 3, 20, 0)
+    server = world.gateway._servers["s0"]
+
+    def times_out(first: int) -> bool:
+        """Requests until one goes to s0 and is not answered for long; whether s0 is put out."""
+        for id in range(first, first + 40):
+            world.feed(w.request(id))
+            here = [key for key, (name, _) in world.out.items() if name == "s0"]
+            world.serve() if not here else None
+            if here:
+                world.advance(world.now + 0.7)
+                world.feed(w.outcome(*here[0], "s0", api.Status.TIMEOUT, 0.7))
+                world.serve()
+                return server.out_until > world.now
+            world.advance(world.now + 0.1)
+        raise AssertionError("nothing went to s0")
+
+    assert not times_out(next_id)
+    assert times_out(next_id + 100) or times_out(next_id + 200)
