Expect the work of a request by the units that it takes

Suspicion: the rank (worth for work), the gate's tokens and the in-flight bound take all requests of a class for equal in work, while the site counts units 'after', by the work done. Lines at fault: r.work = base of the class in _arrive, and _learn, which averaged all sizes.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -41,8 +41,8 @@
 
 class _Request:
     __slots__ = (
-        "account", "born", "cls", "deadline", "due", "id", "inside", "out", "ran", "rank", "repeat", "tries",
-        "units", "work",
+        "account", "born", "cls", "deadline", "due", "id", "inside", "out", "ran", "rank", "repeat", "size",
+        "tries", "units", "work",
     )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account) -> None:
@@ -50,11 +50,8 @@
         self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
         self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
-        self.work, self.rank, self.inside = (
-            0.0,
-            1.0,
-            False,
-        )  # expected work; place among the recent by worth per work
+        self.inside, self.size = False, 1.0  # within its quota; its units over the mean
+        self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
         self.tries, self.out = list[tuple[_Server, float]](), dict[int, _Server]()
         self.ran: tuple[_Server, float] | None = None  # first attempt that may have run
 
@@ -76,6 +73,7 @@
         self._sum: float | None = None  # the controller's sum; None: fresh, admits freely
         self._u = self._tokens = self._reading = self._tries = self._admitted = self._done_rate = 0.0
         self._arrivals, self._held, self._timer = 0.0, 0, 0  # first tries a second; age of the readings
+        self._units = 0.0  # mean units of a request
         self._mean, self._retries = 0.0, 10.0  # mean work of a request; further attempts that may be made
         self._filled = self._ticked = now
         self._calls = Calls(now, settings.gateways, self._rng.random())
@@ -182,7 +180,11 @@
         a.refill(now)
         self._tries += not ev.repeat
         r = self._requests[ev.id] = _Request(now, ev, cls, a)
-        r.work = self._base.setdefault(cls.name, cls.aim * 0.1)
+        # A quota's units follow a request's work. Taken for equal in work, large ones stood out by their
+        # worth alone: gate and bound let those in first, and with them more work than they thought.
+        self._units += (ev.units - self._units) * (0.02 if self._units else 1)
+        r.size = ev.units / self._units if self._units > 0 and ev.units > 0 else 1.0
+        r.work = self._base.setdefault(cls.name, cls.aim * 0.1) * r.size
         self._mean += (r.work - self._mean) * (0.02 if self._mean else 1)
         value = cls.worth * a.plan.price * r.units / r.work
         self._seen.append(value)
@@ -406,8 +408,9 @@
         if ev.status is Status.OK:
             s.done += r.work
             base = self._base[r.cls.name]
-            self._base[r.cls.name] = base + (ev.elapsed - base) * (0.01 if ev.elapsed > base else 0.02)
-            s.slow += (0.1 if s.slow else 1.0) * (ev.elapsed / base - s.slow)
+            took = ev.elapsed / r.size
+            self._base[r.cls.name] = base + (took - base) * (0.01 if took > base else 0.02)
+            s.slow += (0.1 if s.slow else 1.0) * (took / base - s.slow)
             self._load.append(min(1.0, ev.elapsed / r.cls.aim * REFERENCE / AIM_SHARE))
         elif ev.status in (Status.FULL, Status.TIMEOUT):
             self._load.append(1.0)
