Charge a break at once little of the budget of further attempts

It is to bound work done twice, and a server has done nothing within 2 ms. Now a break costs the share of the expected work that its time could hold; time-outs and errors cost one.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -402,7 +402,7 @@
         elif ev.finished:
             self._forget(ev.id)
         elif not r.out:
-            self._again(now, r, ev.status)
+            self._again(now, r, ev)
 
     def _learn(self, now: float, r: _Request, s: _Server, ev: api.Outcome) -> None:
         if ev.status is Status.OK:
@@ -455,13 +455,15 @@
             s.out_until, s.trial, s.fails = now + s.out_for, True, 0.2
             self._choose(now)
 
-    def _again(self, now: float, r: _Request, status: Status) -> None:
+    def _again(self, now: float, r: _Request, ev: api.Outcome) -> None:
         allowed = len(r.tries) < self._set.max_attempts and r.due - now > r.work and self._retries >= 1
         if r.ran is not None and r.cls.effect is not Effect.SAFE:
             allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
         if not allowed or not self._send(now, r):
             return self._end(now, r)
-        self._retries -= status not in (Status.UNREACHABLE, Status.DROPPED)
+        # What broke before a server can have done much of it takes as little of what may be done twice.
+        spent = min(1.0, ev.elapsed / r.work) if ev.status is Status.BROKEN else 1.0
+        self._retries -= spent * (ev.status not in (Status.UNREACHABLE, Status.DROPPED))
 
     def _end(self, now: float, r: _Request, why: str = "attempts") -> None:
         self._why[why] = self._why.get(why, 0) + 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -178,3 +178,16 @@
         able = rate * min(1, 0.2 + 0.8 * (at + window - start) / 10)
         assert sum(at <= other < at + window for other in cold) < multiple * able * window
     assert len(cold) > 5
+
+
+def test_breaks_at_once_take_little_of_what_may_be_tried_again() -> None:
+    world = w.World(w.settings(max_attempts=4))
+    world.feed(w.servers("s0", "s1", "s2"))
+    for id in range(200):
+        world.advance(world.now + 0.05)
+        world.feed(w.request(id))
+        if id % 4 == 0:  # a network that resets every fourth connection as soon as it is written to
+            for (rid, attempt), (server, _) in list(world.out.items()):
+                world.feed(w.outcome(rid, attempt, server, api.Status.BROKEN, 0.001))
+        world.serve()
+    assert set(world.answered.values()) == {"served"}
