Give a silent counter connection up after ten time-outs, and a dial after 0.25 s

Evidence: the log has 'the counter is silent: connecting anew' five times in 23 s at one node, and 422 answered calls in 20 s of which most fall between; connects and client requests there stall alike (73 to 188 dials that never come up each 5 s), so connections go blind one by one while the counter serves. Ruled out: a slow or crowded counter (answers come in time or not at all). Lines at fault: DEAD (1.5 s) with a look each 0.5 s, and DIAL_TIMEOUT (1 s): each blind connection cost up to 2 s of counting, each blind dial a second more, at time-outs of 0.03 s. Now 0.3, 0.1 and 0.25 s.

--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -14,11 +14,11 @@
 
 log = logging.getLogger(__name__)
 
-CHECK = 0.5  # seconds between two looks at the line
-REPORT = 20  # looks between two log lines on how the calls ended
+CHECK = 0.1  # seconds between two looks at the line
+REPORT = 100  # looks between two log lines on how the calls ended
 PING = 2.0  # silent seconds until a ping keeps the connection: an idle one is closed
-DEAD = 1.5  # seconds that the oldest unanswered line may wait before the connection is given up
-DIAL_TIMEOUT = 1.0
+DEAD = 0.3  # seconds that the oldest unanswered line may wait until the connection is given up: ten time-outs
+DIAL_TIMEOUT = 0.25
 REDIAL = 0.05  # seconds between two dials after breaks, so that a peer that only closes is no busy loop
 MAX_LINE = 64
 TOTAL = re.compile(rb"ok ([+-]?[0-9]{1,20}(?:\.[0-9]{0,20})?(?:[eE][+-]?[0-9]{1,2})?)")
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -218,3 +218,21 @@
 
     run(main())
     assert sum("unreadable counter line" in record.getMessage() for record in caplog.records) == 1
+
+
+@pytest.mark.parametrize(("waited", "given_up"), [(0.1, False), (0.4, True)])
+def test_a_connection_that_owes_an_answer_for_many_time_outs_is_given_up(
+    waited: float, given_up: bool
+) -> None:
+    async def main() -> None:
+        async with connected(0.03) as (_, _, client):
+            client.call(1, 1.0, 10.0, lambda _status, _total: None)
+            while (link := client._link) is None or not link.written:
+                await asyncio.sleep(0.001)
+            link.written[0].sent -= waited
+            assert client._check_at is not None
+            client._check_at.cancel()
+            client._check()
+            assert link.usable is not given_up
+
+    run(main())
