Leave headroom above the even share in the counter's silence while the load is low

Evidence: the log has the counter refusing connections from 7.1 s, 'counter silent', load 0.19, and all refusals for quota. Line at fault: in _quota a silent counter left the even share alone, which the design calls a floor; a customer's requests come unevenly, so the busiest gateway refused what the others had no use for. Now what the others' usual use will have left, less a quarter of the burst, goes above it while the load is under 0.25.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -17,6 +17,7 @@
 DEPTH, RESERVE = 1.0, 0.6  # seconds of u that the gate holds; share kept from the least worthy work
 THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
+IDLE = 0.25  # load under which servers bear a wrong guess of what the others use
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.DROPPED, Status.NOT_SENT)
@@ -210,6 +211,9 @@
             inside = not many
         elif not self._set.has_counter or now < self._calls.silent_until:
             inside = expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()  # even share
+            # A floor, with headroom above: what the others' usual use leaves, while the servers have room.
+            idle = self._reading < IDLE
+            inside = inside or (idle and expected - 0.25 * plan.burst >= r.units)
         elif a.level < r.units or (plain and not a.thin):
             inside = a.level >= r.units
         elif a.asking and not a.thin and r.deadline - now > 4 * self._set.counter_timeout:
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -479,3 +479,19 @@
     world.feed(w.request(3001, units=4.0))
     assert held[3001].work == pytest.approx(4 * held[3000].work, rel=0.1)
     assert held[3001].work == pytest.approx(0.08, rel=0.2)
+
+
+@pytest.mark.parametrize(("elapsed", "above"), [(0.05, True), (0.5, False)])
+def test_a_silent_counter_leaves_headroom_above_the_even_share_while_load_is_low(
+    elapsed: float, above: bool
+) -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    next_id = run(world, 5, 10, 0, elapsed)  # of a plan without a quota: the load is read
+    world.gateway._calls.silent_until = world.now + 60.0
+    before = len(world.sends)
+    for id in range(next_id, next_id + 20):
+        world.feed(w.request(id, "read", "small", "acct"))
+        world.serve(elapsed=elapsed)
+    even = 8.0 / 3  # of the store, for three gateways; a part of a unit may pass as one
+    assert (len(world.sends) - before > even + 1) is above
