--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -8,9 +8,10 @@
 import logging
 import os
 import signal
+import socket
 import sys
 import time
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import uvloop
@@ -19,18 +20,23 @@
 from cypresspulley.decide import Gateway
 from cypresspulley.net.counter import CounterClient
 from cypresspulley.net.discovery import Follower, Listing, listing_from
+from cypresspulley.net.figures import Figures
 from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.http import split_address
+from cypresspulley.net.mgmt import Mgmt
 from cypresspulley.net.node import Node, unix_clock
+from cypresspulley.net.shared import Shared
 from cypresspulley.net.upstream import Upstream
-from cypresspulley.settings import Timing, settings_from, timing_from
+from cypresspulley.settings import Timing, check_retuned, settings_from, timing_from
 
 log = logging.getLogger("cypresspulley")
 
 SPARE_SOCKETS = 48  # descriptors kept for everything but clients and servers, and for those being closed
+SPARE_OF_TWO = 32  # for each process, while two of them share the descriptors
 ACCEPT_FOR = 0.5  # seconds after SIGTERM for which clients still come
 # And, after those, for what was taken. SIGKILL may come 3.7 s after SIGTERM, and what it finds is lost.
 ANSWER_WITHIN = 2.8
+USUAL_DEADLINE = 3.0  # where the longest deadline is longer, SIGKILL comes so much later
 FLUSH_WITHIN = 0.2  # for the answers to what even then is open
 LOGS_A_SECOND = 20
 
@@ -40,11 +46,14 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     counter: tuple[str, int] | None
+    mgmt: tuple[str, int] | None
+    name: str
     seed: int
     sockets: int
     known: Listing | None
     settings: api.Settings
     timing: Timing
+    raw: dict[str, Any] = field(repr=False, compare=False)
 
 
 class ConfigError(Exception):
@@ -77,11 +86,15 @@
             listen=split_address(str(raw.get("listen"))),
             discovery=split_address(str(raw.get("discovery"))),
             counter=split_address(str(raw["counter"])) if raw.get("counter") else None,
+            # Two processes of one limiter may read one file: what the environment says is this one's.
+            mgmt=split_address(mgmt) if (mgmt := os.environ.get("LB_MGMT") or raw.get("mgmt")) else None,
+            name=str(raw.get("name") or os.environ.get("LB_NAME") or ""),
             seed=int(str(raw.get("seed") or "0"), 16),
             sockets=int(limits.get("sockets") or 1024),
             known=listing_from(raw["known"]) if raw.get("known") else None,
             settings=settings_from(raw["settings"]),
             timing=timing_from(raw["settings"]),
+            raw=raw,
         )
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(str(error)) from None
@@ -98,24 +111,71 @@
     return config_from(raw)
 
 
+def inherited_socket() -> socket.socket | None:
+    """The clients' listening socket, where the platform holds it and hands it to every process."""
+    text = os.environ.get("LB_LISTEN_FD")
+    if not text:
+        return None
+    try:
+        taken = socket.socket(fileno=int(text))
+        if taken.type is not socket.SOCK_STREAM or not taken.getsockopt(
+            socket.SOL_SOCKET, socket.SO_ACCEPTCONN
+        ):
+            raise ValueError("it does not listen")
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"LB_LISTEN_FD={text:.20}: {error}") from None
+    return taken
+
+
+def share_of(sockets: int, processes: int) -> int:
+    """Connections that each side of this process may hold, clients' and servers'."""
+    spare = SPARE_SOCKETS if processes == 1 else SPARE_OF_TWO * processes
+    # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
+    return max(8, (sockets - spare) // (2 * processes))
+
+
 class Reload:
-    """SIGHUP: the file is read again, and discovery and the counter are followed to where it says."""
+    """SIGHUP: the file is read again, and taken whole or not at all."""
 
-    def __init__(self, config: Config, follower: Follower, counter: CounterClient | None) -> None:
-        self._config, self._follower, self._counter = config, follower, counter
+    def __init__(
+        self, config: Config, node: Node, frontend: Frontend, upstream: Upstream, follower: Follower,
+        counter: CounterClient | None, figures: Figures,
+    ) -> None:  # fmt: skip
+        self._config, self._node, self._frontend, self._upstream = config, node, frontend, upstream
+        self._follower, self._counter, self._figures = follower, counter, figures
 
     def __call__(self) -> None:
         try:
             new = load_config(os.environ.get("LB_CONFIG"))
-        except ConfigError as error:
+            check_retuned(new.raw["settings"], self._config.raw["settings"])
+            Gateway.check(new.settings)
+            if self._config.counter is not None and new.counter is None:
+                raise ConfigError("counter is missing")
+        except (ConfigError, ValueError) as error:
             # A half-written or wrong file must not end a limiter that serves.
+            self._figures.load_errors += 1
             log.error("the configuration was not reloaded: %s", error)
             return
+        self._figures.loads += 1
         self._follower.follow(*new.discovery)
         if self._counter is not None and new.counter is not None:
             self._counter.move(*new.counter)
-        old = replace(self._config, discovery=new.discovery, counter=new.counter, known=new.known)
-        log.info("the configuration was reloaded%s", "" if new == old else ": some of it needs a restart")
+            self._counter.retime(new.settings.counter_timeout or self._config.settings.counter_timeout)
+        self._upstream.retime(new.timing.dial_timeout, new.timing.conn_idle)
+        if new.settings != self._config.settings:
+            self._frontend.reader.retune(new.settings)
+            self._node.retune(new.settings)
+        same = replace(
+            self._config, discovery=new.discovery, counter=new.counter, known=new.known,
+            settings=new.settings, timing=new.timing,
+        )  # fmt: skip
+        retuned, self._config = new.settings != self._config.settings, replace(new, listen=same.listen)
+        log.info(
+            "the configuration was reloaded%s%s",
+            f": classes {', '.join(c.name for c in new.settings.classes)}, "
+            f"{new.settings.max_attempts} attempts" * retuned,
+            "" if new == same else "; some of it needs a restart",
+        )
 
 
 async def serve(config: Config) -> None:
@@ -127,22 +187,33 @@
         lambda _loop, context: log.error("%s", context.get("message"), exc_info=context.get("exception"))
     )
     clock = unix_clock()
-    # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
-    clients = servers = max(8, (config.sockets - SPARE_SOCKETS) // 2)
-    timing = config.timing
-    upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, servers)
+    # Where there is no second address nobody can take a server out, and no second process comes.
+    shared = Shared(os.environ.get("TMPDIR") if config.mgmt else None, config.name)
+    most = share_of(config.sockets, shared.processes)
+    timing, figures = config.timing, Figures(c.name for c in config.settings.classes)
+    upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, most, figures)
     timeout = config.settings.counter_timeout
     counter = CounterClient(*config.counter, timeout) if config.counter and timeout else None
     try:
         gateway = Gateway(config.settings, config.seed, clock())
     except ValueError as error:
         raise ConfigError(str(error)) from None
-    node = Node(config.settings, gateway, clock, upstream, counter)
+    node = Node(config.settings, gateway, clock, upstream, counter, figures, shared)
+    frontend = Frontend(node, config.settings, most, figures)
+    mgmt = Mgmt(node) if config.mgmt else None
+
+    def together(processes: int, bans: frozenset[str]) -> None:
+        for side in (frontend, upstream):
+            side.resize(share_of(config.sockets, processes))
+        node.shared(processes, bans)
+
+    shared.watch(together)
     if config.known is not None:
         node.listed(config.known)
-    frontend = Frontend(node, config.settings, clients)
     try:
-        await frontend.listen(*config.listen)
+        await frontend.listen(*config.listen, inherited_socket())
+        if mgmt is not None and config.mgmt is not None:
+            await mgmt.listen(*config.mgmt)
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     since = config.known.version if config.known else None
@@ -150,7 +221,9 @@
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
-    loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter))
+    loop.add_signal_handler(
+        signal.SIGHUP, Reload(config, node, frontend, upstream, follower, counter, figures)
+    )
     gc.collect()
     gc.freeze()  # what is here now stays: the collector need not walk it again
     log.info(
@@ -162,10 +235,22 @@
     await stop.wait()
     log.info("stopping")
     frontend.drain()
-    await asyncio.sleep(ACCEPT_FOR)  # clients do not know yet: what they still open is taken and answered
-    await frontend.close(ANSWER_WITHIN)
+    node.leave()
+    longest = max((c.deadline for c in config.settings.classes), default=0.0)
+    answer_within = ANSWER_WITHIN + max(0.0, longest - USUAL_DEADLINE)
+    if shared.processes > 1:
+        # The other process takes what comes. Clients that hold connections here leave with their next answer;
+        # closed sooner, one would cross a request on its way.
+        frontend.stop()
+        await frontend.emptied(ACCEPT_FOR + answer_within)
+    else:
+        await asyncio.sleep(ACCEPT_FOR)  # clients do not know yet: what they still open is taken and answered
+        await frontend.close(answer_within)
     node.abandon_all()
     await frontend.close(FLUSH_WITHIN)
+    if mgmt is not None:
+        mgmt.close()
+    shared.close()
     follower.close()
     upstream.close()
     if counter is not None:
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -42,11 +42,12 @@
 
 class _Request:
     __slots__ = (
-        "account", "born", "cls", "deadline", "due", "id", "inside", "out", "ran", "rank", "repeat", "size",
-        "tries", "units", "work",
+        "account", "born", "cls", "deadline", "due", "id", "inside", "most", "out", "ran", "rank", "repeat",
+        "size", "tries", "units", "work",
     )  # fmt: skip
 
-    def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account) -> None:
+    def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account, most: int) -> None:
+        self.most = most  # attempts that were allowed when it came
         self.id, self.cls, self.account, self.units = ev.id, cls, acct, ev.units
         self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
@@ -59,7 +60,7 @@
 
 class Gateway:
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
-        self._check(settings)
+        self.check(settings)
         self._set, self._rng, self._born = settings, Random(seed), now
         self._classes = {c.name: c for c in settings.classes}
         self._plans = {p.name: p for p in settings.plans}
@@ -78,18 +79,26 @@
         self._mean, self._retries = 0.0, 10.0  # mean work of a request; further attempts that may be made
         self._filled = self._ticked = now
         self._calls = Calls(now, settings.gateways, self._rng.random())
+        self._banned, self._parts = frozenset[str](), 1  # servers out by hand; processes of this limiter
+        self._told = self._leaving = False  # whether a list has come; whether this process is to end
         self._seen, self._ranks, self._load = deque[float](maxlen=300), list[float](), list[float]()
         self._handlers: dict[type, Callable[[float, Any], None]] = {
             api.Request: self._arrive, api.Outcome: self._outcome, api.Counted: self._counted,
             api.ServerList: self._listed, api.Probed: self._probed, api.TimerFired: lambda _now, _ev: None,
-            api.Departed: lambda _now, ev: self._forget(ev.id),
+            api.Departed: lambda _now, ev: self._forget(ev.id), api.Call: self._called,
+            api.Bans: lambda now, ev: self._ban(now, ev.servers), api.Processes: self._shared,
+            api.Leaving: self._leave, api.Settings: self._retune,
         }  # fmt: skip
+        self._pace(settings)
+
+    def _pace(self, settings: api.Settings) -> None:
         aims = [c.aim for c in settings.classes] or [1.0]
         # One stay for all classes: they share the servers, and by its own aim the class with the shortest one
         # found them full at what the others still let in, however much its work was worth.
         self._patience, self._stay = AIM_SHARE * min(aims), AIM_SHARE * sum(aims) / len(aims)
 
-    def _check(self, s: api.Settings) -> None:
+    @staticmethod
+    def check(s: api.Settings) -> None:
         one, above = ("gateways", "max_attempts"), ("cold_share", "fall_window")
         for key in (*one, *above, "warm_after", "counter_timeout"):
             if getattr(s, key) < (1 if key in one else 1e-9 if key in above else 0):
@@ -157,7 +166,7 @@
         self._ranks = sorted(self._seen)
         for key, a in list(self._accounts.items()):
             # A ceiling is full before it is forgotten: a new account would start with more than was left.
-            full = a.ceiling * a.share + a.plan.ceiling_rate * (now - a.at) >= a.plan.ceiling_burst
+            full = a.ceiling * a.ways + a.plan.ceiling_rate * (now - a.at) >= a.plan.ceiling_burst
             if now - a.at > FORGET and not a.open and full:
                 del self._names[a.name], self._accounts[key]
             elif abs(a.pending) > 1e-9 and now - a.asked > 1.0 and a.level < 0.7 * a.plan.burst:
@@ -176,11 +185,11 @@
         cls, key = self._classes.get(ev.request_class, unknown), (ev.plan, ev.account)
         if (a := self._accounts.get(key)) is None:
             plan = self._plans.get(ev.plan, api.Plan(ev.plan))
-            a = self._accounts[key] = Account(now, ev, plan, self._born, self._set.max_units)
+            a = self._accounts[key] = Account(now, ev, plan, self._born, self._set.max_units, self._parts)
             self._names[a.name] = a
         a.refill(now)
         self._tries += not ev.repeat
-        r = self._requests[ev.id] = _Request(now, ev, cls, a)
+        r = self._requests[ev.id] = _Request(now, ev, cls, a, self._set.max_attempts)
         # A quota's units follow a request's work. Taken for equal in work, large ones stood out by their
         # worth alone: gate and bound let those in first, and with them more work than they thought.
         self._units += (ev.units - self._units) * (0.02 if self._units else 1)
@@ -314,12 +323,66 @@
             if s.up and restarted and now - e.born < self._set.warm_after:
                 s.cold_at, s.budget, s.budget_at, s.slow = e.born, 0.0, now, 0.0
                 s.out_until = min(s.out_until, now)
+        self._told = True
+        self._arrange(now)
+
+    def _arrange(self, now: float) -> None:
         # All gateways see one ring of servers, each from a place of its own: parts of it add up evenly.
-        ring = sorted((s for s in self._servers.values() if s.up), key=lambda s: s.place)
+        usable = (s for n, s in self._servers.items() if s.up and n not in self._banned)
+        ring = sorted(usable, key=lambda s: s.place)
         start = self._set.index * len(ring) // self._set.gateways
         self._ring = ring[start:] + ring[:start]
         self._choose(now)
 
+    def _called(self, now: float, ev: api.Call) -> None:
+        listed = [s for s in self._servers.values() if not s.gone]
+        if ev.verb is api.Verb.STATUS:
+            ok = self._told and not self._leaving
+        elif ev.verb is api.Verb.METRICS:
+            ok = True
+        else:  # a ban outlives the list's entry, so that the call back is never refused
+            known, out = self._servers.get(ev.server), ev.verb is api.Verb.SUSPEND
+            ok = ev.server in self._banned or (known is not None and not known.gone)
+            if ok:
+                self._ban(now, self._banned | {ev.server} if out else self._banned - {ev.server})
+                self._out.append(api.Ban(ev.server, out))
+        avoided = (s.entry.name in self._banned or s.out_until > now for s in listed)
+        self._out.append(api.Reply(ev.id, ok, len(listed), sum(avoided)))
+
+    def _ban(self, now: float, names: frozenset[str]) -> None:
+        """What is out by hand leaves the ring, whatever the list says; what is called back comes in cold."""
+        back = [s for n, s in self._servers.items() if n in self._banned and n not in names]
+        self._banned = names
+        for s in back:
+            # It was out to be restarted, most likely, and what is known of it is of the process before.
+            s.cold_at, s.budget, s.budget_at, s.out_until, s.out_for = now, 0.0, now, now, 0.0
+            s.slow = s.fails = s.broke = 0.0
+            s.trial, s.lost, s.mutes, s.row, s.quiet = False, False, 0, 0, None
+        self._arrange(now)
+
+    def _shared(self, now: float, ev: api.Processes) -> None:
+        """Two processes of one limiter share what it may do: ceilings, even shares, work for cold servers."""
+        for a in self._accounts.values():
+            a.refill(now)  # so far by the old part
+        self._parts = max(1, ev.count)
+        for a in self._accounts.values():
+            a.split(self._parts)
+
+    def _leave(self, _now: float, _ev: api.Leaving) -> None:
+        self._leaving = True
+
+    def _retune(self, now: float, ev: api.Settings) -> None:
+        """New settings hold for what comes from now on; what is under way keeps its class."""
+        self.check(ev)
+        self._set, self._plans = ev, {p.name: p for p in ev.plans}
+        # A class that went keeps its terms for what was on its way when it did.
+        self._classes |= {c.name: c for c in ev.classes}
+        for a in self._accounts.values():
+            a.refill(now)
+            a.replan(self._plans.get(a.plan.name, a.plan), ev.max_units)
+        self._pace(ev)
+        self._arrange(now)
+
     def _choose(self, now: float) -> None:
         """A thin gate keeps to few: of hundreds it meets each once a minute and learns each failure anew."""
         want, self._mine = max(FEW, -(-5 * len(self._ring) // self._set.gateways)), list[_Server]()
@@ -362,8 +425,10 @@
     def _cold_room(self, now: float, s: _Server, r: _Request) -> bool:
         low, age = self._set.cold_share, max(0.0, now - (s.cold_at or 0.0))
         warmth = low + (1 - low) * age / max(1e-9, self._set.warm_after)
-        s.cold_at = s.cold_at if warmth < 1 else None
-        fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate
+        if warmth >= 1:
+            s.cold_at = None
+            return True
+        fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate / self._parts
         s.budget += fill * (now - s.budget_at)
         s.budget, s.budget_at = min(fill * self._set.fall_window * 0.5, s.budget), now
         # One request at each of hundreds of gates pushes it over: it passes as often as its part is there.
@@ -460,7 +525,9 @@
             self._choose(now)
 
     def _again(self, now: float, r: _Request, ev: api.Outcome) -> None:
-        allowed = len(r.tries) < self._set.max_attempts and r.due - now > r.work and self._retries >= 1
+        allowed = (
+            len(r.tries) < min(r.most, self._set.max_attempts) and r.due - now > r.work and self._retries >= 1
+        )
         if r.ran is not None and r.cls.effect is not Effect.SAFE:
             allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
         if not allowed or not self._send(now, r):
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -51,6 +51,15 @@
     GONE = "gone"
 
 
+class Verb(Enum):
+    """What an operator asks of one limiter."""
+
+    STATUS = "STATUS"
+    METRICS = "METRICS"
+    SUSPEND = "SUSPEND"
+    RESTORE = "RESTORE"
+
+
 @dataclass(frozen=True, slots=True)
 class RequestClass:
     name: str
@@ -60,6 +69,7 @@
     late_worth: float = 0.0
     scope: Scope = Scope.ALL
     window: float = 0.0
+    deadline: float = 0.0  # the client's wait over all its tries; 0: not told
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +180,34 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Call:
+    """An operator calls; exactly one ``Reply`` answers."""
+
+    id: int
+    verb: Verb
+    server: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Bans:
+    """All servers that are out by hand, as the processes of this limiter keep them together."""
+
+    servers: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Processes:
+    """So many processes are this limiter now: more than one while a new version takes over."""
+
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """This process is to end: it is not ready for anything new."""
+
+
 @dataclass(frozen=True, slots=True)
 class Send:
     id: int
@@ -219,5 +257,26 @@
     text: str
 
 
-Event = ServerList | Request | Outcome | Departed | Counted | Probed | TimerFired
-Action = Send | Refuse | Fail | Cancel | Count | Probe | SetTimer | Log
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """To an operator's call: yes or no, servers on the list, and those of them that are avoided now."""
+
+    id: int
+    ok: bool
+    known: int
+    skipped: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ban:
+    """Keep for all processes of this limiter that a server is out by hand, or no longer."""
+
+    server: str
+    out: bool
+
+
+Event = (
+    ServerList | Request | Outcome | Departed | Counted | Probed | TimerFired
+    | Call | Bans | Processes | Leaving | Settings
+)  # fmt: skip
+Action = Send | Refuse | Fail | Cancel | Count | Probe | SetTimer | Log | Reply | Ban
--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -155,6 +155,9 @@
             self._dial = None
         self._redial()
 
+    def retime(self, timeout: float) -> None:
+        self._timeout = timeout
+
     def call(self, name: int, amount: float, lifetime: float, done: Done) -> None:
         """Add to a number; ``done`` gets the status and the total, later than this call returns."""
         milliseconds = max(1, min(60_000, round(lifetime * 1000)))
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -4,14 +4,20 @@
 
 import asyncio
 import contextlib
+import fcntl
 import logging
 import re
+import socket
+import struct
+import termios
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol, cast
 
 import httptools
 
 from cypresspulley import interface as api
+from cypresspulley.net.figures import Figures
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
 
 log = logging.getLogger(__name__)
@@ -31,6 +37,7 @@
 # and connecting is dear (TLS, long ways): each request beyond the share then pays for a connection.
 CROWDED = 0.5
 MAX_TIMEOUT_MS = 60_000
+FORMER = 3.0  # seconds after new settings for which a class's former terms are still read
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
@@ -74,6 +81,8 @@
         if self.answer is not None:
             raise RuntimeError("a request was answered twice")
         self._client.frontend.open_ids.discard(self.id)
+        if self.event is not None:
+            self._client.frontend.figures.ended(self.event.request_class, status)
         retry = b"" if retry_after is None else b"Retry-After: %.3f\r\n" % retry_after
         length = b"Content-Length: %d\r\n\r\n" % len(body)
         self.answer = b"".join((STATUS_LINES[status], headers, retry)), length + body
@@ -91,22 +100,30 @@
 class RequestReader:
     """Turns a request's headers and target into the event that the decisions want."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self._classes = {c.name: c.effect for c in settings.classes}
-        self._plans = {p.name for p in settings.plans}
+    def __init__(self, settings: api.Settings, clock: Callable[[], float] = lambda: 0.0) -> None:
+        self._clock, self._last_id = clock, 0
+        self._classes, self._plans = dict[str, bool](), set[str]()
+        self._former, self._former_until = dict[str, bool](), 0.0
+        self.retune(settings)
+
+    def retune(self, settings: api.Settings) -> None:
+        """Classes and plans from now on. Those before are read for a while: requests are on the way."""
+        self._former, self._former_until = self._classes, self._clock() + FORMER
+        self._classes = {c.name: c.effect is api.Effect.SAFE for c in settings.classes}  # whether by GET
+        self._plans |= {p.name for p in settings.plans}
         self._gateways, self._max_units = settings.gateways, max(1.0, settings.max_units)
-        self._last_id = 0
 
     def read(self, method: bytes, target: str, fields: dict[bytes, bytes]) -> api.Request:
         path, _, query = target.partition("?")
         name = path[1:].partition("/")[0]
-        if name not in self._classes:
+        former = self._former if self._former and self._clock() < self._former_until else {}
+        if name not in self._classes and name not in former:
             raise BadRequestError(404, "unknown path")
         for header in (REQUEST_ID, CLASS, PLAN, TIMEOUT, QUOTA):
             if not fields.get(header):
                 raise BadRequestError(400, f"{header.decode()} is missing")
         # The method follows from the class, and a GET with a body could hide another request in it.
-        if (method == b"GET") is not (self._classes[name] is api.Effect.SAFE):
+        if (method == b"GET") not in (self._classes.get(name), former.get(name)):
             raise BadRequestError(405, "method")
         if not ID.fullmatch(fields[REQUEST_ID]):
             raise BadRequestError(400, "x-request-id is wrong")
@@ -365,9 +382,16 @@
             self._rejected = True
             transport.close()
 
+    @property
+    def _unread(self) -> bool:
+        """Whether a request has come that the loop has not read yet: closing now would lose it."""
+        assert self._transport is not None
+        fd = self._transport.get_extra_info("socket").fileno()
+        return fd >= 0 and bool(struct.unpack("i", fcntl.ioctl(fd, termios.FIONREAD, b"\0" * 4))[0])
+
     def close_if_idle(self) -> bool:
         """Close between two requests, which a client takes as the end of a keep-alive."""
-        if self.idle and self._transport is not None:
+        if self.idle and self._transport is not None and not self._unread:
             self._close()
             return True
         return False
@@ -378,7 +402,7 @@
         if self._transport is None or self._waiting:
             return
         if not self._reading:
-            if age > IDLE:
+            if age > IDLE and not self._unread:
                 self._close()
         elif age > SLOW and (not self._head_read or age > LONGEST or self._size < FLOW * age):
             self._reject(408)
@@ -392,10 +416,13 @@
 class Frontend:
     """The listener and its connections."""
 
-    def __init__(self, handler: Handler, settings: api.Settings, max_connections: int) -> None:
-        self.handler, self.reader = handler, RequestReader(settings)
-        self.draining = False
+    def __init__(
+        self, handler: Handler, settings: api.Settings, max_connections: int, figures: Figures | None = None
+    ) -> None:
         self.clock = asyncio.get_running_loop().time
+        self.handler, self.reader = handler, RequestReader(settings, self.clock)
+        self.figures = figures or Figures()
+        self.draining = False
         self.open_ids = set[bytes]()
         self._max = max_connections
         self.spoken = 0  # connections that have sent something
@@ -404,9 +431,14 @@
         self._server: asyncio.Server | None = None
         self._empty = asyncio.Event()
 
-    async def listen(self, host: str, port: int) -> tuple[str, int]:
+    async def listen(self, host: str, port: int, inherited: socket.socket | None = None) -> tuple[str, int]:
+        """Take connections at an address, or from a listening socket that others hold as well."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _Client(self), host, port, backlog=BACKLOG)
+        if inherited is None:
+            self._server = await loop.create_server(lambda: _Client(self), host, port, backlog=BACKLOG)
+        else:
+            inherited.setblocking(False)
+            self._server = await loop.create_server(lambda: _Client(self), sock=inherited, backlog=BACKLOG)
         self._sweep_at = loop.call_later(SWEEP, self._sweep)
         address = self._server.sockets[0].getsockname()
         return address[0], address[1]
@@ -440,15 +472,27 @@
         """From now on every answer says that its connection closes."""
         self.draining = True
 
-    async def close(self, grace: float) -> None:
-        """Stop listening, close what is idle, and wait for the rest to be answered and closed."""
+    def resize(self, max_connections: int) -> None:
+        self._max = max_connections
+
+    def stop(self) -> None:
+        """Take no more connections; the socket stays with whoever else holds it."""
         if self._server is not None:
             self._server.close()
-        if self._sweep_at is not None:
-            self._sweep_at.cancel()
-        for client in list(self._clients):
-            client.close_if_idle()
+            self._server = None
+
+    async def emptied(self, grace: float) -> None:
+        """Wait for all connections to end by their answers, or idle as on any day."""
         self._empty.clear()
         if self._clients:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._empty.wait(), grace)
+
+    async def close(self, grace: float) -> None:
+        """Stop listening, close what is idle, and wait for the rest to be answered and closed."""
+        self.stop()
+        if self._sweep_at is not None:
+            self._sweep_at.cancel()
+        for client in list(self._clients):
+            client.close_if_idle()
+        await self.emptied(grace)
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -18,7 +18,9 @@
 from cypresspulley import interface as api
 from cypresspulley.net.counter import CounterClient
 from cypresspulley.net.discovery import Listing
+from cypresspulley.net.figures import Figures
 from cypresspulley.net.frontend import ClientRequest
+from cypresspulley.net.shared import Shared
 from cypresspulley.net.upstream import Exchange, Upstream, load_report
 
 log = logging.getLogger(__name__)
@@ -43,10 +45,10 @@
 class _Open:
     """A request that has no final answer yet."""
 
-    __slots__ = ("attempts", "deadline", "request", "timer")
+    __slots__ = ("attempts", "deadline", "most", "request", "timer")
 
-    def __init__(self, request: ClientRequest, deadline: float) -> None:
-        self.request, self.deadline = request, deadline
+    def __init__(self, request: ClientRequest, deadline: float, most: int) -> None:
+        self.request, self.deadline, self.most = request, deadline, most
         self.attempts = list[Exchange]()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -61,7 +63,11 @@
         clock: Callable[[], float],
         upstream: Upstream,
         counter: CounterClient | None,
+        figures: Figures | None = None,
+        shared: Shared | None = None,
     ) -> None:
+        self._figures, self._together = figures or Figures(), shared or Shared(None, "")
+        self._calls, self._last_call = dict[int, tuple[api.Verb, Callable[[bool, str], None]]](), 0
         self._settings, self._gateway, self._clock = settings, gateway, clock
         self._upstream, self._counter = upstream, counter
         self._loop = asyncio.get_running_loop()
@@ -71,6 +77,7 @@
         self._actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.Count: self._count, api.Probe: self._probe, api.SetTimer: self._set_timer, api.Log: self._log,
+            api.Reply: self._reply, api.Ban: self._ban,
         }  # fmt: skip
 
     @property
@@ -101,7 +108,9 @@
         event = request.event
         assert event is not None
         margin = min(MARGIN, MARGIN_SHARE * event.ttl)
-        opened = self._open[event.id] = _Open(request, self._clock() + event.ttl - margin)
+        opened = self._open[event.id] = _Open(
+            request, self._clock() + event.ttl - margin, self._settings.max_attempts
+        )
         last = event.ttl - SILENT_SHARE * margin
         opened.timer = self._loop.call_later(last, self._abandon, event.id, 504)
         self.feed(replace(event, ttl=event.ttl - margin))
@@ -110,6 +119,28 @@
         if request.event is not None and self._close(request.event.id) is not None:
             self.feed(api.Departed(request.event.id))
 
+    def called(self, verb: api.Verb, server: str, done: Callable[[bool, str], None]) -> None:
+        """An operator's call; ``done`` is told yes or no, and the figures where they were asked for."""
+        self._last_call += 1
+        self._calls[self._last_call] = verb, done
+        self.feed(api.Call(self._last_call, verb, server))
+
+    def shared(self, processes: int, bans: frozenset[str]) -> None:
+        """What the processes of this limiter know together has changed."""
+        log.info("processes of this limiter: %d; servers out by hand: %s", processes, sorted(bans) or "none")
+        self.feed(api.Processes(processes))
+        self._upstream.shun(bans)
+        self.feed(api.Bans(bans))
+
+    def retune(self, settings: api.Settings) -> None:
+        """New settings; what is under way keeps what it came with."""
+        self._settings = settings
+        self._figures.know(c.name for c in settings.classes)
+        self.feed(settings)
+
+    def leave(self) -> None:
+        self.feed(api.Leaving())
+
     def abandon_all(self) -> None:
         """Fail what is still open: the process is about to end, and a request must not end with it."""
         for id in list(self._open):
@@ -122,6 +153,8 @@
             log.exception("the decisions failed on %s", type(event).__name__)
             if isinstance(event, api.Request):
                 self._abandon(event.id, 500)
+            elif isinstance(event, api.Call):
+                self._calls.pop(event.id)[1](False, "")
             elif isinstance(event, api.TimerFired):
                 # The next timer was to come with these actions: without it they would never tick again.
                 self._loop.call_later(1.0, self.feed, event)
@@ -162,7 +195,7 @@
         done = partial(self._attempted, action.id, number)
         attempt = Exchange(action.server, request.head, request.body, expires, done)
         opened.attempts.append(attempt)
-        if number < self._settings.max_attempts:
+        if number < min(opened.most, self._settings.max_attempts):
             self._upstream.start(attempt)
         else:
             self._upstream.end(attempt, api.Status.NOT_SENT)
@@ -208,7 +241,7 @@
         path = b"/load" if self._settings.load_on_probe else b"/healthz"
         head = b"GET %b HTTP/1.1\r\nHost: %b\r\n" % (path, action.server.encode())
         expires = self._clock() + PROBE_TIMEOUT
-        self._upstream.start(Exchange(action.server, head, b"", expires, self._probed))
+        self._upstream.start(Exchange(action.server, head, b"", expires, self._probed, probe=True))
 
     def _probed(self, probe: Exchange) -> None:
         report = probe.report
@@ -219,5 +252,16 @@
     def _set_timer(self, action: api.SetTimer) -> None:
         self._loop.call_later(action.delay, self.feed, api.TimerFired(action.token))
 
+    def _reply(self, action: api.Reply) -> None:
+        verb, done = self._calls.pop(action.id)
+        self._figures.open = len(self._open)
+        done(action.ok, self._figures.text(action.known, action.skipped) if verb is api.Verb.METRICS else "")
+
+    def _ban(self, action: api.Ban) -> None:
+        log.info("server %s: %s", action.server, "out by hand" if action.out else "called back")
+        bans = self._together.change(action.server, action.out)
+        self._upstream.shun(bans)
+        self.feed(api.Bans(bans))  # with those that another process was told of meanwhile
+
     def _log(self, action: api.Log) -> None:
         log.info("%s", action.text)
--- /dev/null
+++ b/cypresspulley/net/shared.py
@@ -0,0 +1,143 @@
+"""What the processes of one limiter share in $TMPDIR: that they live, and which servers are out by hand.
+
+Each process holds a lock on a file of its own; the kernel gives it back however the process ends, so that
+nothing stale passes for a living process. The bans lie in one file, written whole and then renamed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import json
+import logging
+import os
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+
+log = logging.getLogger(__name__)
+
+LOOK = 0.1  # seconds between two looks: within a second a ban must hold in the other process too
+FOLDER, PROCESS, BANS, LOCK = "cypresspulley", "process-", "bans.json", "bans.lock"
+MOST_BANS, MAX_FILE = 4096, 1024 * 1024
+
+
+def _locked(path: Path, wait: bool) -> int | None:
+    """The descriptor of a file locked by this process, or None where another holds it."""
+    fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    try:
+        fcntl.flock(fd, fcntl.LOCK_EX | (0 if wait else fcntl.LOCK_NB))
+    except OSError:
+        os.close(fd)
+        return None
+    return fd
+
+
+class Shared:
+    """This process's place among those of its limiter. Without a folder that can be written it is alone."""
+
+    def __init__(self, folder: str | None, name: str) -> None:
+        self._folder: Path | None = None
+        self._own = ""
+        self._mine = None if folder is None else self._enter(Path(folder), name)
+        self._told: tuple[int, frozenset[str]] = 1, frozenset()
+        self._file: tuple[int, int] | None = None
+        self._bans, self._damaged = frozenset[str](), False
+        self._look_at: asyncio.TimerHandle | None = None
+
+    def _enter(self, parent: Path, name: str) -> int | None:
+        try:
+            # By name: where limiters are given one folder all the same, their bans are not one another's.
+            place = parent / f"{FOLDER}-{name.encode().hex()[:64]}"
+            place.mkdir(mode=0o700, exist_ok=True)
+            fd = None
+            while fd is None:
+                self._own = f"{PROCESS}{os.getpid()}-{secrets.token_hex(4)}"
+                fd = _locked(place / self._own, wait=False)
+                if fd is not None and not (place / self._own).exists():
+                    os.close(fd)  # taken for a stale one by another process before it was locked
+                    fd = None
+        except OSError as error:
+            log.error("nothing can be shared with another process: %s", error)
+            return None
+        self._folder = place
+        return fd
+
+    @property
+    def processes(self) -> int:
+        """This one and the others that live; files of those that ended are cleared away."""
+        count = 1
+        if self._folder is None:
+            return count
+        try:
+            for path in self._folder.iterdir():
+                if not path.name.startswith(PROCESS) or path.name == self._own:
+                    continue
+                fd = _locked(path, wait=False)
+                if fd is None:
+                    count += 1
+                else:
+                    path.unlink(missing_ok=True)
+                    os.close(fd)
+        except OSError as error:
+            log.warning("cannot look for another process: %s", error)
+        return count
+
+    def bans(self) -> frozenset[str]:
+        """The servers that are out by hand; a damaged file changes nothing."""
+        if self._folder is None:
+            return self._bans
+        try:
+            path = self._folder / BANS
+            state = path.stat()
+            if (mark := (state.st_ino, state.st_mtime_ns)) == self._file:
+                return self._bans
+            with path.open("rb") as file:
+                names = json.loads(file.read(MAX_FILE))["out"]
+            if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+                raise ValueError("not a list of names")
+            self._file, self._bans, self._damaged = mark, frozenset(names), False
+        except FileNotFoundError:
+            pass
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            if not self._damaged:
+                log.error("the file of servers out by hand cannot be read, they stay as they were: %s", error)
+            self._damaged = True
+        return self._bans
+
+    def change(self, server: str, out: bool) -> frozenset[str]:
+        """Keep a server out, or no longer, for all processes; gives what then holds."""
+        if self._folder is None:
+            self._bans = self._bans | {server} if out else self._bans - {server}
+            return self._bans
+        lock: int | None = None
+        try:
+            lock = _locked(self._folder / LOCK, wait=True)  # held for a write of some bytes
+            names = self.bans()
+            self._bans = names | {server} if out and len(names) < MOST_BANS else names - {server}
+            fresh = self._folder / f"{BANS}.{self._own}"
+            fresh.write_text(json.dumps({"out": sorted(self._bans)}))
+            fresh.rename(self._folder / BANS)
+        except OSError as error:
+            log.error("a server out by hand could not be written down: %s", error)
+            self._bans = self._bans | {server} if out else self._bans - {server}
+        finally:
+            if lock is not None:
+                os.close(lock)
+        return self._bans
+
+    def watch(self, tell: Callable[[int, frozenset[str]], None]) -> None:
+        """Tell from now on when processes come or go, or bans change."""
+        now = self.processes, self.bans()
+        if now != self._told:
+            self._told = now
+            tell(*now)
+        self._look_at = asyncio.get_running_loop().call_later(LOOK, self.watch, tell)
+
+    def close(self) -> None:
+        if self._look_at is not None:
+            self._look_at.cancel()
+        if self._folder is not None and self._mine is not None:
+            (self._folder / self._own).unlink(missing_ok=True)
+            os.close(self._mine)
+            self._mine = None
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -21,6 +21,7 @@
 import httptools
 
 from cypresspulley.interface import Status
+from cypresspulley.net.figures import Figures
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED, split_address
 
 log = logging.getLogger(__name__)
@@ -84,6 +85,7 @@
     answer: bytes = b""
     report: dict[str, float] = field(default_factory=dict)
     charged: float | None = None  # the true units of the request
+    probe: bool = False
     connection: _Connection | None = None
     timer: asyncio.TimerHandle | None = None
 
@@ -133,7 +135,12 @@
     def resume_writing(self) -> None:
         self._unwritten = False
         if self.exchange is not None:
-            self.exchange.written = True
+            self._whole(self.exchange)
+
+    def _whole(self, exchange: Exchange) -> None:
+        """The request is written whole: from now on it may run."""
+        exchange.written = True
+        self._upstream.wrote(exchange)
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         assert self.transport is not None
@@ -142,8 +149,8 @@
         self.transport.write(data)
         if self.transport.is_closing():  # the write itself failed: nothing has left
             self._upstream.end(exchange, Status.DROPPED)
-        else:
-            exchange.written = not self._unwritten
+        elif not self._unwritten:
+            self._whole(exchange)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -286,11 +293,20 @@
 class Upstream:
     """The servers by name and the connections to them."""
 
-    def __init__(self, clock: Clock, dial_timeout: float, conn_idle: float, max_connections: int) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        dial_timeout: float,
+        conn_idle: float,
+        max_connections: int,
+        figures: Figures | None = None,
+    ) -> None:
         self._clock, self._dial_timeout, self._max = clock, dial_timeout, max_connections
         self._idle_for = conn_idle * IDLE_SHARE
         self._servers = dict[str, _Server]()
         self._open = 0
+        self._shunned = frozenset[str]()  # servers out by hand
+        self._figures = figures or Figures()
         self._dials = set[asyncio.Task[None]]()
         self._seen, self._looks = Counter[str](), 0
         # Idle seconds that a kept connection has not outlived, until when that is heeded, and for how long.
@@ -319,6 +335,25 @@
                 self._close_idle(server)
                 self._drop(server)
 
+    def shun(self, names: frozenset[str]) -> None:
+        """Servers out by hand: nothing new goes there, and kept connections do not outlive their restart."""
+        self._shunned = names
+        for name in names:
+            if (server := self._servers.get(name)) is not None:
+                self._close_idle(server)
+
+    def resize(self, max_connections: int) -> None:
+        """Another bound on connections; idle ones beyond it go at once."""
+        self._max = max_connections
+        while self._open > self._max and self._make_room():
+            pass
+
+    def retime(self, dial_timeout: float, conn_idle: float) -> None:
+        self._dial_timeout, self._idle_for = dial_timeout, conn_idle * IDLE_SHARE
+
+    def _usable(self, server: _Server) -> bool:
+        return server.up and server.name not in self._shunned
+
     def _drop(self, server: _Server) -> None:
         """Forget what is not up once nothing is open there: ids are ever new, the table would grow."""
         if not server.up and server.open == 0 and self._servers.get(server.name) is server:
@@ -332,7 +367,7 @@
         """Send a request; ``exchange.done`` is called once, maybe before this returns."""
         exchange.started = self._clock()
         server, wait = self._servers.get(exchange.server), exchange.expires - exchange.started
-        if server is None or not server.up or wait <= 0:
+        if server is None or not self._usable(server) or wait <= 0:
             return self.end(exchange, Status.NOT_SENT)
         loop = asyncio.get_running_loop()
         exchange.timer = loop.call_later(wait, self._expired, exchange)
@@ -366,7 +401,7 @@
         server, transport = connection.server, connection.transport
         if transport is None or transport.is_closing():
             return
-        if reusable and server.up and connection.address == server.address:
+        if reusable and self._usable(server) and connection.address == server.address:
             connection.idle_since = self._clock()
             server.idle.append(connection)
         else:
@@ -378,6 +413,9 @@
             log.warning("an answer of %s could not be read: %s", server, error)
         self._seen["unreadable answers"] += 1
 
+    def wrote(self, exchange: Exchange) -> None:
+        self._figures.tries += not exchange.probe
+
     def broke(self, connection: _Connection) -> None:
         """A connection broke under a request."""
         self._seen["broke fresh" if connection.idle_since is None else "broke kept"] += 1
@@ -430,7 +468,8 @@
     def _write(self, connection: _Connection, exchange: Exchange) -> None:
         # Time has passed if this waited for a dial: the server may drain, the try may be over.
         left = exchange.expires - self._clock()
-        if left <= 0 or not connection.server.up or connection.address != connection.server.address:
+        moved = connection.address != connection.server.address
+        if left <= 0 or moved or not self._usable(connection.server):
             self.release(connection, True)
             return self.end(exchange, Status.NOT_SENT)
         timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(left * 1000))
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -50,19 +50,22 @@
 
     __slots__ = (
         "asked", "asking", "at", "calls", "ceiling", "floor", "floor_cap", "level", "name", "open", "others",
-        "pending", "plan", "share", "synced", "thin", "total", "waiting",
+        "pending", "plan", "share", "synced", "thin", "total", "waiting", "ways",
     )  # fmt: skip
 
-    def __init__(self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float) -> None:
+    def __init__(
+        self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float, parts: int = 1
+    ) -> None:
         self.plan, self.at, self.asked, self.synced = plan, now, now, born
         self.share = share = max(1, ev.gateways)
+        self.ways = share * parts  # two processes of one gateway have its share together
         label = f"{ev.plan} {ev.account}".encode()
         self.name = int.from_bytes(blake2b(label, digest_size=8).digest(), "big") >> 1
         self.level = plan.burst + plan.rate * (now - born)  # of the whole store; a reading cuts it
-        self.thin = plan.burst < 2 * share  # the even share holds next to nothing
-        self.floor = self.floor_cap = max(plan.burst / share, min(most, plan.burst) * self.thin)
+        self.replan(plan, most)
+        self.floor = self.floor_cap
         # A restart finds the ceiling's store used, so the share fills from this instance's birth.
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born)) / share
+        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born)) / self.ways
         self.total: float | None = None
         self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
         self.pending, self.open = 0.0, 0  # own use that the counter has not been told; attempts out
@@ -71,12 +74,23 @@
         ]()  # amount, who waits, their units, when
         self.asking, self.waiting = False, list[int]()  # whether such a call is out; who waits for the next
 
+    def replan(self, plan: api.Plan, most: float) -> None:
+        """The plan's terms, at first and when they change; what the stores hold is cut when they refill."""
+        self.plan = plan
+        self.thin = plan.burst < 2 * self.share  # the even share holds next to nothing
+        self.floor_cap = max(plan.burst / self.share, min(most, plan.burst) * self.thin)
+
+    def split(self, parts: int) -> None:
+        """So many processes are this gateway: what is beyond this one's part goes; others start with none."""
+        self.ways = self.share * parts
+        self.ceiling = min(self.ceiling, self.plan.ceiling_burst / self.ways)
+
     def refill(self, now: float) -> None:
         plan, dt, self.at = self.plan, max(0.0, now - self.at), now
         self.level = min(plan.burst + plan.rate * (now - self.synced), self.level + plan.rate * dt)
-        self.floor = min(self.floor_cap, self.floor + plan.rate / self.share * dt)
-        whole = self.ceiling * self.share + plan.ceiling_rate * dt
-        self.ceiling = min(plan.ceiling_burst, whole) / self.share
+        self.floor = min(self.floor_cap, self.floor + plan.rate / self.ways * dt)
+        whole = self.ceiling * self.ways + plan.ceiling_rate * dt
+        self.ceiling = min(plan.ceiling_burst, whole) / self.ways
 
     def settle(self, more: float) -> None:
         """The answer told the true units: the quota counts those, and so does what the counter is told."""
--- a/cypresspulley/settings.py
+++ b/cypresspulley/settings.py
@@ -71,6 +71,7 @@
             late_worth=_number(row, "late_worth"),
             scope=_word(SCOPE, "group", row.get("group") or "all"),
             window=_number(row, "window_s"),
+            deadline=_number(row, "hard_limit_s"),
         )
         for row in _rows(raw, "classes")
     )
@@ -117,3 +118,36 @@
     if timing.dial_timeout <= 0 or timing.conn_idle <= 0:
         raise SettingsError("settings: dial_timeout_s and conn_idle_s must be above 0")
     return timing
+
+
+def check_retuned(raw: dict[str, Any], running: dict[str, Any]) -> None:
+    """``SettingsError`` unless new settings are whole: they hold every key of the running ones.
+
+    A start makes do with less; but what a running limiter is told has the form that it started with, and
+    a key that is missing then means a file that was cut or mangled, of which nothing can be trusted.
+    """
+    for key, value in running.items():
+        if key not in raw:
+            raise SettingsError(f"settings: {key} is missing")
+        if isinstance(value, dict):
+            check_retuned(_section(raw, key), value)
+        elif isinstance(value, list) and any(isinstance(row, dict) for row in value):
+            rows = [row for row in value if isinstance(row, dict)]
+            common = {
+                name: None for name in rows[0] if name != "aim_stretch" and all(name in r for r in rows)
+            }
+            fresh = raw[key]
+            if not isinstance(fresh, list) or not fresh:
+                raise SettingsError(f"settings: {key} is not a list, or empty")
+            for row in fresh:
+                if not isinstance(row, dict):
+                    raise SettingsError(f"settings: {key} is not a list of objects")
+                check_retuned(row, common)
+    _positive(raw)
+
+
+def _positive(raw: dict[str, Any]) -> None:
+    """What must be above 0 where it stands: aims, deadlines, and the attempts allowed."""
+    for key in ("aim_s", "hard_limit_s", "max_attempts"):
+        if key in raw and _number(raw, key) <= 0:
+            raise SettingsError(f"settings: {key} must be above 0")
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,371 @@
+"""What operators use: the second address, figures, servers out by hand, retuning, a new version beside."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
+from cypresspulley.net.shared import BANS, Shared
+from cypresspulley.settings import SettingsError, check_retuned, settings_from
+from tests import world as w
+from tests.loopback import Origin, ask, listening, read_message, run
+from tests.test_program import WIRE_SETTINGS, Program, config, free_port, started
+
+
+async def call(port: int, line: bytes, end: bytes = b"\n") -> str:
+    """One call at the second address; retried while nobody listens there yet."""
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            break
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.02)
+    writer.write(line + end)
+    if not end:
+        writer.write_eof()
+    answer = await reader.read()
+    writer.close()
+    return answer.decode()
+
+
+def figures(text: str) -> dict[str, int]:
+    lines = text.splitlines()
+    assert lines[-1] == "EOT"
+    return {name: int(value) for name, value in (line.split("=") for line in lines[:-1])}
+
+
+def test_calls_at_the_second_address_are_answered_beside_stalled_callers(tmp_path: Path) -> None:
+    async def main() -> None:
+        port, origin = free_port(), Origin(lambda n: b"" if n == 2 else Origin().reply(n))
+        async with (
+            listening(origin.talk) as dial,
+            started(config(dial), tmp_path, LB_MGMT=f"127.0.0.1:{port}", TMPDIR=str(tmp_path)) as program,
+        ):
+            await call(port, b"STATUS")
+            stalled = [await asyncio.open_connection("127.0.0.1", port) for _ in range(40)]
+            for _, writer in stalled:
+                writer.write(b"STAT")
+            assert await call(port, b"STATUS") == "SUCCESS\n" == await call(port, b"STATUS\r")
+            assert await call(port, b"STATUS", end=b"") == "SUCCESS\n"
+            bad = (
+                b"",
+                b"status",
+                b"WHAT",
+                b"SUSPEND",
+                b"SUSPEND ",
+                b"SUSPEND s1 s1",
+                b"STATUS x",
+                b"\xff" * 9,
+            )
+            for line in (*bad, b"SUSPEND nobody", b"RESTORE nobody", b"SUSPEND " + b"s" * 100_000):
+                assert await call(port, line) == "FAILURE\n", line
+            zero = figures(await call(port, b"METRICS"))
+            assert zero["app.handled.lookup.passed"] == zero["app.upstream_tries"] == zero["app.loads"] == 0
+            assert zero["app.known_servers"] == 1 and zero["app.skipped_servers"] == 0
+            for _ in range(2):
+                reader, writer = await program.connect()
+                writer.write(ask())
+                await read_message(reader)
+            now = figures(await call(port, b"METRICS"))
+            assert now["app.handled.lookup.passed"] == 2 and now["app.upstream_tries"] == 3
+            assert now["app.in_progress"] == now["app.handled.lookup.dropped"] == 0
+            assert await call(port, b"SUSPEND s1") == await call(port, b"SUSPEND s1") == "SUCCESS\n"
+            assert figures(await call(port, b"METRICS"))["app.skipped_servers"] == 1
+            reader, writer = await program.connect()
+            writer.write(ask())
+            assert " 429 " in (await read_message(reader))[0]
+            assert figures(await call(port, b"METRICS"))["app.handled.lookup.dropped"] == 1
+            assert await call(port, b"RESTORE s1") == "SUCCESS\n"
+
+    run(main())
+
+
+def test_a_ban_holds_whatever_the_list_says_until_the_call_back() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1"))
+
+    def ring(verb: api.Verb, server: str) -> bool:
+        *_, reply = world.feed(api.Call(1, verb, server))
+        assert isinstance(reply, api.Reply)
+        return reply.ok
+
+    def used(first: int) -> set[str]:
+        before = len(world.sends)
+        for id in range(first, first + 40):
+            world.feed(w.request(id))
+            if id % 2:  # two at once, or one place would do
+                world.serve()
+            world.advance(world.now + 0.05)
+        return {server for _, server, _ in world.sends[before:]}
+
+    assert ring(api.Verb.SUSPEND, "s0") and ring(api.Verb.SUSPEND, "s0")
+    assert used(0) == {"s1"}
+    world.feed(w.servers("s1"))  # it goes from the list, restarts and comes back
+    world.feed(w.servers("s0", "s1", born=world.now))
+    assert used(100) == {"s1"}
+    world.feed(api.ServerList((), True))
+    world.advance(world.now + 3)
+    assert ring(api.Verb.RESTORE, "s0")  # nobody lists it, but it was out by hand
+    assert not ring(api.Verb.RESTORE, "s0") and not ring(api.Verb.SUSPEND, "s7")
+    world.feed(w.servers("s0", "s1"))
+    assert used(200) == {"s0", "s1"}
+
+
+def test_a_server_called_back_is_cold_and_forgiven() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1"))
+    world.feed(api.Bans(frozenset({"s0"})))
+    server = world.gateway._servers["s0"]
+    server.out_until, server.trial, server.lost = world.now + 60, True, True
+    world.feed(api.Bans(frozenset()))
+    assert server.cold_at == world.now and server.out_until <= world.now
+    assert not server.trial and not server.lost
+
+
+def test_readiness_begins_with_a_list_and_ends_with_leaving() -> None:
+    gateway = Gateway(w.settings(), 1, 0.0)
+
+    def ready() -> bool:
+        actions = gateway.handle(0.0, api.Call(1, api.Verb.STATUS))
+        return [a.ok for a in actions if isinstance(a, api.Reply)] == [True]
+
+    assert not ready()
+    gateway.handle(0.0, w.servers("s0"))
+    assert ready()
+    gateway.handle(0.0, api.Leaving())
+    assert not ready()
+
+
+def test_two_processes_of_a_limiter_keep_the_ceiling_together() -> None:
+    plan = api.Plan("capped", 1.0, 3.0, 9.0, ceiling_rate=4.0, ceiling_burst=12.0)
+    config = w.settings(plans=(plan,))
+    worlds = [w.World(config, i) for i in range(4)]
+    for world in worlds:
+        world.feed(w.servers("s0", "s1", "s2", "s3"))
+    store, now, sent = 12.0, 100.0, 0
+    for step in range(1200):
+        now += 0.05
+        store = min(12.0, store + 4.0 * 0.05)
+        if step == 200:  # a second process of the first gateway begins, and later the old one ends
+            worlds.append(w.World(config, 9, now))
+            worlds[-1].feed(w.servers("s0", "s1", "s2", "s3"))
+            for world in (worlds[0], worlds[-1]):
+                world.feed(api.Processes(2))
+        if step == 800:
+            worlds[0] = worlds.pop()
+            worlds[0].feed(api.Processes(1))
+        world = worlds[step % len(worlds) if step % 3 else 0 if step % 2 else -1]
+        if world is worlds[3]:
+            world = worlds[0]  # the customer's set has three gateways
+        world.advance(now)
+        world.serve()
+        world.answer_counts(api.Status.UNREACHABLE)
+        before = len(world.sends)
+        world.feed(w.request(step, "read", "capped", "acct", 3.0, 1.0))
+        store -= len(world.sends) - before
+        sent += len(world.sends) - before
+        assert store >= -1e-6, "the ceiling was passed"
+    assert sent > 50
+
+
+def test_what_processes_share_outlives_one_and_survives_damage(tmp_path: Path) -> None:
+    first = Shared(str(tmp_path), "n1")
+    assert first.processes == 1 and first.bans() == frozenset()
+    code = "import sys; from cypresspulley.net.shared import Shared; s = Shared(sys.argv[1], 'n1'); " \
+        "s.change('b', True); print(s.processes, flush=True); sys.stdin.read()"  # fmt: skip
+    first.change("a", True)
+    other = subprocess.Popen(
+        [sys.executable, "-c", code, str(tmp_path)], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
+    assert other.stdout is not None and other.stdout.readline() == "2\n"
+    assert first.processes == 2 and first.bans() == {"a", "b"}
+    other.kill()
+    other.communicate()
+    assert first.processes == 1  # what a killed process left is stale, and is cleared away
+    assert Shared(str(tmp_path), "n2").bans() == frozenset()
+    folder = next(path.parent for path in tmp_path.rglob(BANS))
+    for damage in (b"", b"{", b'{"out": 3}', b"[]", b"\xff", b'{"out": [1]}'):
+        (folder / BANS).write_bytes(damage)
+        assert first.bans() == {"a", "b"}
+        fresh = Shared(str(tmp_path), "n1")
+        assert fresh.bans() == frozenset()
+        fresh.close()
+    assert first.change("a", False) == {"b"} == first.bans()
+    assert Shared(str(tmp_path / "missing"), "n1").change("x", True) == {"x"}  # alone, and it still works
+
+
+def test_a_new_version_takes_over_the_door_and_the_bans(tmp_path: Path) -> None:
+    async def main() -> None:
+        release, taken = asyncio.Event(), asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_message(reader)
+                taken.set()
+                await release.wait()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+
+        ports = free_port(), free_port()
+        with socket.create_server(("127.0.0.1", 0)) as door:
+            host, port = door.getsockname()
+            env = {"TMPDIR": str(tmp_path), "LB_LISTEN_FD": str(door.fileno())}
+
+            def beside(dial: str, mgmt: int) -> object:
+                raw = config(dial) | {"listen": f"{host}:{port}", "mgmt": f"127.0.0.1:{mgmt}"}
+                (tmp_path / str(mgmt)).mkdir()
+                return started(raw, tmp_path / str(mgmt), (door.fileno(),), **env)
+
+            async with listening(talk) as dial, beside(dial, ports[0]) as old:  # type: ignore[attr-defined]
+                assert isinstance(old, Program)
+                assert await call(ports[0], b"STATUS") == "SUCCESS\n"
+                kept, kept_writer = await old.connect()
+                kept_writer.write(ask())
+                await taken.wait()
+                assert await call(ports[0], b"SUSPEND s1") == "SUCCESS\n"
+                async with beside(dial, ports[1]) as new:  # type: ignore[attr-defined]
+                    while await call(ports[1], b"STATUS") != "SUCCESS\n":
+                        pass
+                    assert figures(await call(ports[1], b"METRICS"))["app.skipped_servers"] == 1
+                    old.process.send_signal(signal.SIGTERM)
+                    while await call(ports[0], b"STATUS") == "SUCCESS\n":
+                        pass
+                    assert await call(ports[1], b"RESTORE s1") == "SUCCESS\n"
+                    release.set()
+                    status, headers, body = await read_message(kept)
+                    assert " 200 " in status and body == b"hi" and headers["connection"] == "close"
+                    assert await old.process.wait() == 0
+                    reader, writer = await new.connect()
+                    writer.write(ask())
+                    assert (await read_message(reader))[2] == b"hi"
+                    assert await call(ports[1], b"STATUS") == "SUCCESS\n"
+
+    run(main())
+
+
+def test_requests_under_way_keep_their_class_and_attempts_drop_at_once() -> None:
+    world = w.World(w.settings(max_attempts=3))
+    world.feed(w.servers("s0", "s1", "s2"))
+    world.feed(w.request(1))
+    stricter = replace(w.SAFE, effect=api.Effect.UNSAFE)
+    fresh = api.RequestClass("fresh", 1.0, 1.0, api.Effect.SAFE)
+    world.feed(w.settings(max_attempts=3, classes=(stricter, fresh)))
+    world.feed(w.request(2))
+    world.feed(w.request(3, "fresh"))
+    world.config = replace(world.config, classes=(stricter, fresh))
+    sent = len(world.sends)
+    server = {key[0]: value[0] for key, value in world.out.items()}
+    world.feed(w.outcome(2, 0, server[2], api.Status.BROKEN))
+    assert world.answered[2] == "failed" and len(world.sends) == sent  # unsafe now: it may have run
+    world.config = replace(world.config, classes=(w.SAFE, fresh))
+    world.feed(w.outcome(1, 0, server[1], api.Status.ERROR))
+    assert len(world.sends) == sent + 1  # it came as one that is safe to repeat
+    world.feed(w.settings(max_attempts=1, classes=(stricter, fresh)))
+    world.feed(w.outcome(3, 0, server[3], api.Status.ERROR))
+    assert world.answered[3] == "refused" and len(world.sends) == sent + 1
+
+
+def cut(path: str) -> Callable[[dict[str, object]], None]:
+    """Takes a key away, named with dots; a number is a place in a list."""
+
+    def change(raw: dict[str, object]) -> None:
+        *way, last = path.split(".")
+        place: object = raw
+        for step in way:
+            place = place[int(step)] if isinstance(place, list) else place[step]  # type: ignore[index]
+        del place[last]  # type: ignore[attr-defined]
+
+    return change
+
+
+RUNNING = json.dumps(
+    WIRE_SETTINGS
+    | {"classes": [WIRE_SETTINGS["classes"][0] | {"hard_limit_s": 6.0}], "contract": {"cold_from": 0.5}}
+)
+
+
+def put(name: str, value: object) -> Callable[[dict[str, object]], None]:
+    def change(raw: dict[str, object]) -> None:
+        where = raw["limits"] if name == "max_attempts" else raw["classes"][0]  # type: ignore[index]
+        where[name] = value  # type: ignore[index]
+
+    return change
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        cut("classes"), cut("limits"), cut("contract"), cut("contract.cold_from"), cut("limits.max_attempts"),
+        cut("tariffs.0.quota_rate"), cut("classes.0.hard_limit_s"), cut("classes.0.effect"), cut("me"),
+        put("hard_limit_s", 0), put("hard_limit_s", -1.0), put("hard_limit_s", "6"), put("aim_s", None),
+        put("max_attempts", 0), put("max_attempts", True), put("aim_s", -2), put("max_attempts", None),
+        lambda raw: raw.update(classes=[]), lambda raw: raw.update(classes=[3]),
+        lambda raw: raw.update(contract=7), lambda raw: raw.update(tariffs=None),
+    ],
+)  # fmt: skip
+def test_settings_that_are_not_whole_are_turned_down(change: Callable[[dict[str, object]], None]) -> None:
+    raw = json.loads(RUNNING)
+    check_retuned(raw, json.loads(RUNNING))
+    change(raw)
+    with pytest.raises(SettingsError):
+        check_retuned(raw, json.loads(RUNNING))
+        Gateway.check(settings_from(raw))
+
+
+def test_sighup_takes_new_classes_and_of_a_broken_file_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        port = free_port()
+        async with listening(Origin().talk) as dial:
+            raw = config(dial) | {"settings": json.loads(RUNNING), "mgmt": f"127.0.0.1:{port}"}
+            async with started(raw, tmp_path, TMPDIR=str(tmp_path)) as program:
+
+                async def tell(new: object, **want: int) -> None:
+                    (tmp_path / "config.json").write_text(new if isinstance(new, str) else json.dumps(new))
+                    program.process.send_signal(signal.SIGHUP)
+                    while True:
+                        now = figures(await call(port, b"METRICS"))
+                        if all(now[f"app.{name}"] == value for name, value in want.items()):
+                            return
+
+                async def status(kind: str) -> str:
+                    reader, writer = await program.connect()
+                    writer.write(ask(f"/{kind}?account=00000000b4d65521"))
+                    return (await read_message(reader))[0]
+
+                rows = json.loads(RUNNING)["classes"]
+                more = [*rows, rows[0] | {"name": "fresh"}]
+                broken = raw | {"settings": raw["settings"] | {"classes": [more[1] | {"aim_s": 0}]}}
+                await tell("", load_errors=1)
+                await tell(broken, load_errors=2)
+                assert " 404 " in await status("fresh")
+                await tell(raw | {"settings": raw["settings"] | {"classes": more}}, loads=1)
+                assert " 200 " in await status("fresh") and " 200 " in await status("lookup")
+                assert figures(await call(port, b"METRICS"))["app.handled.fresh.passed"] == 1
+                await tell(broken, load_errors=3, loads=1)
+                assert " 200 " in await status("lookup")
+
+    run(main())
+
+
+def test_nothing_of_this_is_there_without_a_second_address(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with (
+            listening(Origin().talk) as dial,
+            started(config(dial), tmp_path, TMPDIR=str(tmp_path)) as program,
+        ):
+            assert " 200 " in await program.health()
+            assert [path.name for path in tmp_path.iterdir()] == ["config.json"]
+
+    assert "LB_MGMT" not in os.environ
+    run(main())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -72,11 +72,13 @@
 
 
 @asynccontextmanager
-async def started(raw: dict[str, Any], folder: Path) -> AsyncIterator[Program]:
+async def started(
+    raw: dict[str, Any], folder: Path, fds: tuple[int, ...] = (), **env: str
+) -> AsyncIterator[Program]:
     path = folder / "config.json"
     path.write_text(json.dumps(raw))
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "cypresspulley", env={**os.environ, "LB_CONFIG": str(path)}
+        sys.executable, "-m", "cypresspulley", env={**os.environ, "LB_CONFIG": str(path), **env}, pass_fds=fds
     )
     program = Program(process, raw["listen"])
     try:
