--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -74,6 +74,7 @@
         )  # why servers were put out; share of attempts that time out
         self._sum: float | None = None  # the controller's sum; None: fresh, admits freely
         self._u = self._tokens = self._reading = self._tries = self._admitted = self._done_rate = 0.0
+        self._lack = "no server"  # what the last pick found wanting
         self._arrivals, self._held, self._timer = 0.0, 0, 0  # first tries a second; age of the readings
         self._units = 0.0  # mean units of a request
         self._mean, self._retries = 0.0, 10.0  # mean work of a request; further attempts that may be made
@@ -144,6 +145,7 @@
         if self._timer % 10 == 0 and self._why:
             text = ", ".join(f"{k} {n}" for k, n in sorted(self._why.items())) + f"; load {self._reading:.2f}"
             text += f", u {self._u:.0f}/s{', counter silent' * (now < self._calls.silent_until)}"
+            text += f"; cold {sum(s.cold_at is not None for s in self._ring)}, done {self._done_rate:.2f}"
             text += f"; servers out {sum(s.out_until > now for s in self._ring)} of {len(self._ring)}"
             text += "".join(f", {n} put out as {cause}" for cause, n in sorted(self._put.items()))
             self._out, self._why, self._put = [*self._out, api.Log(f"turned away: {text}")], {}, {}
@@ -244,7 +246,7 @@
         if (plan.ceiling_rate > 0 and a.ceiling < r.units) or not self._send(now, r):
             if counted:
                 self._count(now, a, own=-counted)
-            return self._end(now, r, "no server")
+            return self._end(now, r, self._lack)
         self._tokens -= r.work / self._mean if self._sum is not None else float("-inf")  # full when fresh
         self._admitted, self._retries = self._admitted + 1, min(10.0, self._retries + 0.1)
         a.ceiling -= r.units if plan.ceiling_rate > 0 else 0.0
@@ -407,6 +409,7 @@
         taken = sum(s.open for s in up if s not in quiet and s.out_until <= now) + 0.5 * r.work
         # A fresh gateway has finished nothing yet: a bound by that would refuse what it is to admit freely.
         if self._sum is not None and taken > fleet * part:
+            self._lack = "bound"
             return None
         least = max(0.5 * total / max(1, len(up)), 3.5 * self._mean)
         group, first = up, r.ran[0].entry if r.ran else None
@@ -417,6 +420,7 @@
         well = [s for s in pool if s.out_until <= now and not (s.trial and s.open > 0) and s not in quiet]
         well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
         fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
+        self._lack = "cold" if fit else "full" if well else "no server"
         fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
         fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
         costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
