--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -149,12 +149,12 @@
             text += f"; servers out {sum(s.out_until > now for s in self._ring)} of {len(self._ring)}"
             text += "".join(f", {n} put out as {cause}" for cause, n in sorted(self._put.items()))
             self._out, self._why, self._put = [*self._out, api.Log(f"turned away: {text}")], {}, {}
-        # By what was finished: by what was sent, overdriven servers would pass for able ones.
-        done = sum(s.done for s in self._servers.values()) / dt / max(1, len(self._mine)) - self._done_rate
-        # What cold ones are let do says nothing of what a warm one bears. Where it counted, each cold server
-        # cut the budget of the others, and a fleet that looked cold stood still for good.
-        if done > 0 or sum(s.cold_at is None for s in self._mine) > len(self._mine) / 2:
-            self._done_rate += 0.3 * done
+        # By what was finished: by what was sent, overdriven servers would pass for able ones. And by warm ones
+        # alone: what cold ones are let do says nothing of what a warm one bears. Where it counted, each cold
+        # server cut the budget of the others, and a fleet that looked cold stood still for good.
+        warm = [s.done / dt for s in self._mine if s.cold_at is None]
+        if warm:
+            self._done_rate += 0.3 * (sum(warm) / len(warm) - self._done_rate)
         for s in self._servers.values():
             s.rate, s.done = s.rate + (0.3 if s.rate else 1.0) * (s.done / dt - s.rate), 0.0
             if s.up and s.lost and s.trial and self._set.may_probe:
