--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -149,12 +149,12 @@
             text += f"; servers out {sum(s.out_until > now for s in self._ring)} of {len(self._ring)}"
             text += "".join(f", {n} put out as {cause}" for cause, n in sorted(self._put.items()))
             self._out, self._why, self._put = [*self._out, api.Log(f"turned away: {text}")], {}, {}
-        # By what was finished: by what was sent, overdriven servers would pass for able ones. And by warm ones
-        # alone: what cold ones are let do says nothing of what a warm one bears. Where it counted, each cold
-        # server cut the budget of the others, and a fleet that looked cold stood still for good.
+        # By what was finished: by what was sent, overdriven servers would pass for able ones. By warm ones only:
+        # what cold ones are let do says nothing of what a warm one bears. Where it counted, each cold server
+        # cut the budget of the others, and a fleet that looked cold stood still for good.
         warm = [s.done / dt for s in self._mine if s.cold_at is None]
         if warm:
-            self._done_rate += 0.3 * (sum(warm) / len(warm) - self._done_rate)
+            self._done_rate += (0.3 if self._done_rate else 1.0) * (sum(warm) / len(warm) - self._done_rate)
         for s in self._servers.values():
             s.rate, s.done = s.rate + (0.3 if s.rate else 1.0) * (s.done / dt - s.rate), 0.0
             if s.up and s.lost and s.trial and self._set.may_probe:
@@ -398,7 +398,9 @@
         # By Little's law: work out is the finished work a second times the stay that is wanted; four a server
         # over all gates at least. Quick answers give a thin gate three more, a load the chance of one.
         up, stay, part = self._mine, self._stay, 1 - RESERVE * 0.5 * (1 - r.rank)
-        total, least = stay * sum(s.rate for s in up), 4.0 * len(self._ring) / self._set.gateways
+        # Cold ones stand aside: they have a budget, and what they hold is long there for what they finish.
+        warm = [s for s in up if s.cold_at is None]
+        total, least = stay * sum(s.rate for s in warm), 4.0 * len(self._ring) / self._set.gateways
         slack = max(self._rng.random(), 3.0 - 2.5 * self._reading / REFERENCE) * (least < 3)
         fleet = max(total, self._mean * least) + self._mean * slack
         # Rates are a mean of seconds and lag; where answers are quick a burst may have twice the work out.
@@ -406,12 +408,13 @@
         # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
         quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
         quiet = quiet if len(quiet) <= len(up) / 2 else []
-        taken = sum(s.open for s in up if s not in quiet and s.out_until <= now) + 0.5 * r.work
+        taken = sum(s.open for s in warm if s not in quiet and s.out_until <= now) + 0.5 * r.work
         # A fresh gateway has finished nothing yet: a bound by that would refuse what it is to admit freely.
-        if self._sum is not None and taken > fleet * part:
+        bound = self._sum is not None and taken > fleet * part
+        if bound and len(warm) == len(up):
             self._lack = "bound"
             return None
-        least = max(0.5 * total / max(1, len(up)), 3.5 * self._mean)
+        least = max(0.5 * total / max(1, len(warm)), 3.5 * self._mean)
         group, first = up, r.ran[0].entry if r.ran else None
         if first and r.cls.effect is Effect.KEYED and r.cls.scope is not api.Scope.ALL:  # it may have run
             group = [s for s in self._ring if s.entry.zone == first.zone]
@@ -420,7 +423,8 @@
         well = [s for s in pool if s.out_until <= now and not (s.trial and s.open > 0) and s not in quiet]
         well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
         fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
-        self._lack = "cold" if fit else "full" if well else "no server"
+        fit = [s for s in fit if s.cold_at is not None] if bound else fit
+        self._lack = "bound" if bound else "cold" if fit else "full" if well else "no server"
         fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
         fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
         costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -495,3 +495,22 @@
         world.serve(elapsed=elapsed)
     even = 8.0 / 3  # of the store, for three gateways; a part of a unit may pass as one
     assert (len(world.sends) - before > even + 1) is above
+
+
+def test_cold_servers_neither_lower_the_work_of_a_warm_one_nor_fill_the_bound() -> None:
+    world = w.World(w.settings(warm_after=60.0))
+    world.feed(w.servers("s0"))
+    cold = tuple(api.ServerEntry(f"c{i}", api.Health.UP, "a", i, 1.0, world.now) for i in range(6))
+    world.feed(api.ServerList(cold, False))
+    for id in range(600):  # an upgrade: this process is fresh while most servers are cold
+        world.feed(w.request(id))
+        world.serve()
+        world.advance(world.now + 0.02)
+    gateway = world.gateway
+    sent = sum(server == "s0" for _, server, _ in world.sends) / 12.0
+    work = gateway._mean
+    assert gateway._done_rate > 0.5 * sent * work  # of what the warm one does, with 6 of 7 cold
+    for name in ("c0", "c1", "c2", "c3", "c4", "c5"):
+        gateway._servers[name].open = 1000 * work
+    world.feed(w.request(1000))
+    assert world.sends[-1][1] == "s0" and world.sends[-1][2].id == 1000
