--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -18,6 +18,7 @@
 THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
 IDLE = 0.25  # load under which servers bear a wrong guess of what the others use
+UPLOAD = 3600.0  # seconds: how long a body takes is its sender's and the sockets' matter
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.DROPPED, Status.NOT_SENT)
@@ -43,7 +44,7 @@
 class _Request:
     __slots__ = (
         "account", "born", "cls", "deadline", "due", "id", "inside", "most", "out", "ran", "rank", "repeat",
-        "size", "tries", "units", "work",
+        "size", "tries", "ttl", "units", "uploading", "work",
     )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account, most: int) -> None:
@@ -52,6 +53,12 @@
         self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
         self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
+        self.ttl, self.uploading = (
+            ev.ttl,
+            ev.uploading,
+        )  # while the body comes no clock runs and no work is done
+        if ev.uploading:
+            self.deadline = self.due = now + UPLOAD
         self.inside, self.size = False, 1.0  # within its quota; its units over the mean
         self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
         self.tries, self.out = list[tuple[_Server, float]](), dict[int, _Server]()
@@ -88,7 +95,7 @@
             api.ServerList: self._listed, api.Probed: self._probed, api.TimerFired: lambda _now, _ev: None,
             api.Departed: lambda _now, ev: self._forget(ev.id), api.Call: self._called,
             api.Bans: lambda now, ev: self._ban(now, ev.servers), api.Processes: self._shared,
-            api.Leaving: self._leave, api.Settings: self._retune,
+            api.Leaving: self._leave, api.Settings: self._retune, api.Uploaded: self._uploaded,
         }  # fmt: skip
         self._pace(settings)
 
@@ -120,7 +127,7 @@
         for r in list(self._requests.values()):
             if now >= r.deadline and not r.out:
                 self._end(now, r)
-            elif r.out and now - r.born > r.cls.aim * AIM_SHARE / REFERENCE:
+            elif r.out and not r.uploading and now - r.born > r.cls.aim * AIM_SHARE / REFERENCE:
                 self._load.append(1.0)  # an answer overdue is a reading before it comes
         arrivals, admitted = self._tries / dt, self._admitted / dt
         self._arrivals += (0.3 if self._arrivals else 1.0) * (arrivals - self._arrivals)
@@ -149,7 +156,7 @@
             text += f"; servers out {sum(s.out_until > now for s in self._ring)} of {len(self._ring)}"
             text += "".join(f", {n} put out as {cause}" for cause, n in sorted(self._put.items()))
             self._out, self._why, self._put = [*self._out, api.Log(f"turned away: {text}")], {}, {}
-        # By what was finished: by what was sent, overdriven servers would pass for able ones. By warm ones only:
+        # By what was finished: by what was sent, overdriven servers would pass for able. And by warm ones:
         # what cold ones are let do says nothing of what a warm one bears. Where it counted, each cold server
         # cut the budget of the others, and a fleet that looked cold stood still for good.
         warm = [s.done / dt for s in self._mine if s.cold_at is None]
@@ -452,11 +459,25 @@
         r.out[len(r.tries)] = s
         r.tries.append((s, now))
         r.account.open += 1
-        s.open, s.quiet = s.open + r.work, now if s.quiet is None else s.quiet
+        s.open += r.work
+        if s.quiet is None and not r.uploading:
+            s.quiet = now
         s.budget -= r.work if s.cold_at is not None else 0.0  # warm, it owes nothing when unsure again
-        self._out.append(api.Send(r.id, s.entry.name, wait))
+        # Of a body under way the time begins with its last byte.
+        self._out.append(api.Send(r.id, s.entry.name, wait if not r.uploading else self._use(r)))
         return True
 
+    def _use(self, r: _Request) -> float:
+        """How long an answer is of use, from the request's last byte on."""
+        return r.ttl if r.cls.late_worth else min(r.ttl, r.cls.aim)
+
+    def _uploaded(self, now: float, ev: api.Uploaded) -> None:
+        if (r := self._requests.get(ev.id)) is not None and r.uploading:
+            r.uploading, r.born = False, now
+            r.deadline, r.due = now + r.ttl, now + self._use(r)
+            for s in r.out.values():
+                s.quiet = now if s.quiet is None else s.quiet
+
     def _outcome(self, now: float, ev: api.Outcome) -> None:
         r, s = self._requests.get(ev.id), self._servers.get(ev.server)
         if s is None or r is None:
@@ -538,7 +559,7 @@
         )
         if r.ran is not None and r.cls.effect is not Effect.SAFE:
             allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
-        if not allowed or not self._send(now, r):
+        if not allowed or not ev.again or not self._send(now, r):
             return self._end(now, r)
         # What broke before a server can have done much of it takes as little of what may be done twice.
         spent = min(1.0, ev.elapsed / r.work) if ev.status is Status.BROKEN else 1.0
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -137,6 +137,7 @@
     units: float = 1.0
     gateways: int = 1
     repeat: bool = False
+    uploading: bool = False  # its body is still coming: ``ttl`` begins with ``Uploaded``
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +152,14 @@
     charged: float | None = (
         None  # the true units, told with a first good answer where units are settled after
     )
+    again: bool = True  # whether the request can be sent once more: not if part of its body is passed on
+
+
+@dataclass(frozen=True, slots=True)
+class Uploaded:
+    """The last byte of a long body has come: the client's time runs from now on."""
+
+    id: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,6 +286,6 @@
 
 Event = (
     ServerList | Request | Outcome | Departed | Counted | Probed | TimerFired
-    | Call | Bans | Processes | Leaving | Settings
+    | Uploaded | Call | Bans | Processes | Leaving | Settings
 )  # fmt: skip
 Action = Send | Refuse | Fail | Cancel | Count | Probe | SetTimer | Log | Reply | Ban
--- a/cypresspulley/net/figures.py
+++ b/cypresspulley/net/figures.py
@@ -12,6 +12,7 @@
         self._ended = dict[str, list[int]]()
         self.tries = self.loads = self.load_errors = 0
         self.open = 0  # taken and not ended
+        self.streams = 0  # of them those whose long answer is on its way
         self.know(classes)
 
     def know(self, classes: Iterable[str]) -> None:
--- a/cypresspulley/net/http.py
+++ b/cypresspulley/net/http.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-MAX_BODY = 64 * 1024
+MAX_BODY = 64 * 1024  # what is kept whole; a longer body goes through in pieces
+MAX_LONG = 40 * 1024 * 1024  # of a request's body
+PIECE = 128 * 1024  # of a long body that the system holds for one read: hundreds of them must fit
 MAX_HEAD = 32 * 1024
 # Headers that belong to one connection and are never passed on (RFC 9110, 7.6.1), and the framing,
 # which is made anew because the body is passed on whole.
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 from typing import Any, Protocol
 
 from cypresspulley import interface as api
+from cypresspulley.net.bodies import Pipe
 from cypresspulley.net.counter import CounterClient
 from cypresspulley.net.discovery import Listing
 from cypresspulley.net.figures import Figures
@@ -107,7 +109,10 @@
     def arrived(self, request: ClientRequest) -> None:
         event = request.event
         assert event is not None
-        margin = min(MARGIN, MARGIN_SHARE * event.ttl)
+        margin = self._margin(event.ttl)
+        if event.uploading:  # its time begins with its last byte
+            self._open[event.id] = _Open(request, math.inf, self._settings.max_attempts)
+            return self.feed(replace(event, ttl=event.ttl - margin))
         opened = self._open[event.id] = _Open(
             request, self._clock() + event.ttl - margin, self._settings.max_attempts
         )
@@ -115,6 +120,24 @@
         opened.timer = self._loop.call_later(last, self._abandon, event.id, 504)
         self.feed(replace(event, ttl=event.ttl - margin))
 
+    @staticmethod
+    def _margin(ttl: float) -> float:
+        return min(MARGIN, MARGIN_SHARE * ttl)
+
+    def uploaded(self, request: ClientRequest) -> None:
+        """The last byte of a long body has come."""
+        event = request.event
+        assert event is not None
+        if (opened := self._open.get(event.id)) is None:
+            return
+        now, margin = self._clock(), self._margin(event.ttl)
+        opened.deadline = now + event.ttl - margin
+        last = event.ttl - SILENT_SHARE * margin
+        opened.timer = self._loop.call_later(last, self._abandon, event.id, 504)
+        for attempt in opened.attempts:
+            self._upstream.expire(attempt, min(opened.deadline, now + attempt.wait))
+        self.feed(api.Uploaded(event.id))
+
     def departed(self, request: ClientRequest) -> None:
         if request.event is not None and self._close(request.event.id) is not None:
             self.feed(api.Departed(request.event.id))
@@ -192,23 +215,45 @@
         number = len(opened.attempts)
         request, wait = opened.request, action.timeout or float("inf")
         expires = min(opened.deadline, self._clock() + wait)
-        done = partial(self._attempted, action.id, number)
-        attempt = Exchange(action.server, request.head, request.body, expires, done)
+        done, begun = partial(self._attempted, action.id, number), partial(self._begun, action.id)
+        if opened.deadline == math.inf:
+            expires = math.inf
+        attempt = Exchange(
+            action.server, request.head, request.body, expires, done, begun, request.upload, wait
+        )
         opened.attempts.append(attempt)
         if number < min(opened.most, self._settings.max_attempts):
             self._upstream.start(attempt)
         else:
             self._upstream.end(attempt, api.Status.NOT_SENT)
 
+    def _begun(self, id: int, attempt: Exchange, pipe: Pipe) -> bool:
+        """A long answer has begun: it is the client's now, and no deadline cuts it off."""
+        if (opened := self._open.get(id)) is None:
+            return False
+        opened.attempts.remove(attempt)
+        self._close(id)
+        opened.request.begin(attempt.answer_headers, pipe)
+        return True
+
     def _attempted(self, id: int, number: int, attempt: Exchange) -> None:
         if attempt.status is api.Status.OK and (opened := self._close(id)) is not None:
             opened.request.respond(200, attempt.answer, attempt.answer_headers)
         finished = id not in self._open
+        again = attempt.upload is None or not attempt.upload.taken
         # Only a good answer settles the units.
         charged = attempt.charged if attempt.status is api.Status.OK else None
         self.feed(
             api.Outcome(
-                id, number, attempt.server, attempt.status, attempt.elapsed, finished, attempt.report, charged
+                id,
+                number,
+                attempt.server,
+                attempt.status,
+                attempt.elapsed,
+                finished,
+                attempt.report,
+                charged,
+                again,
             )
         )
 
@@ -254,7 +299,8 @@
 
     def _reply(self, action: api.Reply) -> None:
         verb, done = self._calls.pop(action.id)
-        self._figures.open = len(self._open)
+        taken = sum(opened.deadline < math.inf for opened in self._open.values())
+        self._figures.open = taken + self._figures.streams
         done(action.ok, self._figures.text(action.known, action.skipped) if verb is api.Verb.METRICS else "")
 
     def _ban(self, action: api.Ban) -> None:
