--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -18,6 +18,7 @@
 THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
 IDLE = 0.25  # load under which servers bear a wrong guess of what the others use
+ENOUGH = 10  # answers that tell how warm a cold server is
 UPLOAD = 3600.0  # seconds: how long a body takes is its sender's and the sockets' matter
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
@@ -28,6 +29,7 @@
     def __init__(self, entry: api.ServerEntry) -> None:
         self.entry, self.up, self.place = entry, True, blake2b(entry.name.encode(), digest_size=8).digest()
         self.open = self.done = self.rate = 0.0  # own work: out, since the last tick, a second
+        self.answers, self.pace = 0, 0.0  # good ones since it came, and their mean latency over idle latency
         self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
         self.out_until = self.out_for = self.budget = self.budget_at = 0.0
         self.trial = self.lost = self.gone = False
@@ -321,6 +323,7 @@
     def _probed(self, now: float, ev: api.Probed) -> None:
         if ev.status is Status.OK and (s := self._servers.get(ev.server)) and s.lost:
             s.out_until, s.quiet, s.lost, s.cold_at, s.budget_at = now, None, False, now, now
+            s.slow, s.answers = 0.0, 0
 
     def _listed(self, now: float, ev: api.ServerList) -> None:
         for old in self._servers.values():
@@ -330,7 +333,7 @@
             restarted = e.born > (s.entry.born + 1e-6 if s.entry is not e else 0.0)
             s.entry, s.up, s.gone = e, e.health is api.Health.UP, e.health is api.Health.GONE
             if s.up and restarted and now - e.born < self._set.warm_after:
-                s.cold_at, s.budget, s.budget_at, s.slow = e.born, 0.0, now, 0.0
+                s.cold_at, s.budget, s.budget_at, s.slow, s.answers = e.born, 0.0, now, 0.0, 0
                 s.out_until = min(s.out_until, now)
         self._told = True
         self._arrange(now)
@@ -366,7 +369,7 @@
             # It was out to be restarted, most likely, and what is known of it is of the process before.
             s.cold_at, s.budget, s.budget_at, s.out_until, s.out_for = now, 0.0, now, now, 0.0
             s.slow = s.fails = s.broke = 0.0
-            s.trial, s.lost, s.mutes, s.row, s.quiet = False, False, 0, 0, None
+            s.trial, s.lost, s.mutes, s.row, s.quiet, s.answers = False, False, 0, 0, None, 0
         self._arrange(now)
 
     def _shared(self, now: float, ev: api.Processes) -> None:
@@ -443,6 +446,10 @@
         if warmth >= 1:
             s.cold_at = None
             return True
+        # That is the latest it warms up. Its answers tell what it can do: they take longer as it can do less,
+        # and longer still where they wait, so that they never make it seem warmer than it is.
+        if s.answers >= ENOUGH:
+            warmth = max(warmth, min(1.0, 0.9 / max(0.9, s.pace)))
         fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate / self._parts
         s.budget += fill * (now - s.budget_at)
         s.budget, s.budget_at = min(fill * self._set.fall_window * 0.5, s.budget), now
@@ -508,7 +515,9 @@
             base = self._base[r.cls.name]
             took = ev.elapsed / r.size
             self._base[r.cls.name] = base + (took - base) * (0.01 if took > base else 0.02)
+            s.answers += 1
             s.slow += (0.1 if s.slow else 1.0) * (took / base - s.slow)
+            s.pace += max(0.1, 1 / s.answers) * (took / base - s.pace)
             self._load.append(min(1.0, ev.elapsed / r.cls.aim * REFERENCE / AIM_SHARE))
         elif ev.status in (Status.FULL, Status.TIMEOUT):
             self._load.append(1.0)
@@ -535,7 +544,8 @@
         if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL, Status.REJECTED):
             s.fails += (0.4 if dead else 0.2) * (bad - s.fails)
         if ev.status is Status.OK:
-            s.cold_at = now if s.lost and s.cold_at is None else s.cold_at  # it may have restarted unseen
+            if s.lost and s.cold_at is None:
+                s.cold_at, s.slow, s.answers = now, 0.0, 0  # it may have restarted unseen
             s.lost, s.trial, s.out_for = False, False, s.out_for * (s.fails >= max(0.05, usual))
         # Lost, it may come back restarted and cold: that takes dials in vain. Who takes one and breaks it is
         # there, and one that keeps its connections and is silent hangs or is slow. A restart between two
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -514,3 +514,25 @@
         gateway._servers[name].open = 1000 * work
     world.feed(w.request(1000))
     assert world.sends[-1][1] == "s0" and world.sends[-1][2].id == 1000
+
+
+def test_a_cold_server_that_answers_like_a_warm_one_gets_its_work_and_a_slow_one_does_not() -> None:
+    taken = dict[float, int]()
+    for pace in (1.0, 5.0):
+        world = w.World(w.settings(warm_after=1000.0))
+        world.feed(w.servers("s0"))
+        for id in range(100):  # a warm one tells how long an idle server takes, and how much it bears
+            world.feed(w.request(id))
+            world.advance(world.now + 0.1)
+            world.serve()
+        world.feed(api.ServerList((api.ServerEntry("cold", api.Health.UP, "a", 1, 1.0, world.now),), False))
+        base = world.gateway._base["read"]
+        for id in range(100, 400):
+            world.feed(w.request(id))
+            world.advance(world.now + 0.1)
+            for (request, attempt), (server, _) in list(world.out.items()):
+                took = base * (pace if server == "cold" else 1.0)
+                world.feed(w.outcome(request, attempt, server, api.Status.OK, took))
+        taken[pace] = sum(server == "cold" for _, server, _ in world.sends)
+        assert world.gateway._servers["cold"].cold_at is not None
+    assert 0 < taken[5.0] < 20 and taken[1.0] > 80, taken  # by age alone it would be 49
