Hand what an old process has learnt to the new one of the same limiter, once and by name

Tests: notes read once, damage passed over, a ceiling split and not copied, and kept by both together, which was seen to fail where a process does not know of the other one.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -207,7 +207,7 @@
             side.resize(share_of(config.sockets, processes))
         node.shared(processes, bans)
 
-    shared.watch(together)
+    shared.watch(together, node.learned)
     if config.known is not None:
         node.listed(config.known)
     try:
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -18,6 +18,7 @@
 THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
 IDLE = 0.25  # load under which servers bear a wrong guess of what the others use
+FRESH, MOST_NOTES = 5.0, 4000  # seconds in which a process takes another's notes; accounts in them
 ENOUGH = 10  # answers that tell how warm a cold server is
 UPLOAD = 3600.0  # seconds: how long a body takes is its sender's and the sockets' matter
 COLD = 0.45  # of a load that fells a cold server
@@ -90,6 +91,7 @@
         self._filled = self._ticked = now
         self._calls = Calls(now, settings.gateways, self._rng.random())
         self._banned, self._parts = frozenset[str](), 1  # servers out by hand; processes of this limiter
+        self._handed = False  # whether the process before has told what it knew
         self._told = self._leaving = False  # whether a list has come; whether this process is to end
         self._seen, self._ranks, self._load = deque[float](maxlen=300), list[float](), list[float]()
         self._handlers: dict[type, Callable[[float, Any], None]] = {
@@ -97,6 +99,7 @@
             api.ServerList: self._listed, api.Probed: self._probed, api.TimerFired: lambda _now, _ev: None,
             api.Departed: lambda _now, ev: self._forget(ev.id), api.Call: self._called,
             api.Bans: lambda now, ev: self._ban(now, ev.servers), api.Processes: self._shared,
+            api.Learned: self._learned,
             api.Leaving: self._leave, api.Settings: self._retune, api.Uploaded: self._uploaded,
         }  # fmt: skip
         self._pace(settings)
@@ -374,14 +377,51 @@
 
     def _shared(self, now: float, ev: api.Processes) -> None:
         """Two processes of one limiter share what it may do: ceilings, even shares, work for cold servers."""
-        for a in self._accounts.values():
+        came, self._parts = ev.count > self._parts, max(1, ev.count)
+        spare = list[api.AccountNotes]()
+        for (plan, name), a in self._accounts.items():
             a.refill(now)  # so far by the old part
-        self._parts = max(1, ev.count)
-        for a in self._accounts.values():
-            a.split(self._parts)
-
-    def _leave(self, _now: float, _ev: api.Leaving) -> None:
+            given = a.split(self._parts)
+            # What the counter is still to be told comes to the other process as use of the others.
+            level = a.level + a.pending + sum(amount for amount, _, _, _ in a.calls)
+            spare.append(
+                api.AccountNotes(plan, name, a.share, level, a.floor, given, a.others, a.synced, a.total)
+            )
+        if came and self._sum is not None:
+            servers = [(n, s) for n, s in self._servers.items() if not s.gone]
+            notes = tuple(
+                api.ServerNotes(n, s.entry.born, s.cold_at, s.answers, s.pace, s.slow, s.rate)
+                for n, s in servers
+            )
+            known = self._done_rate, self._mean, self._units, dict(self._base), notes
+            self._out.append(api.Hand(api.Learned(*known, tuple(spare[-MOST_NOTES:]))))
+
+    def _learned(self, now: float, ev: api.Learned) -> None:
+        """A process that has just begun takes over what the one before knows; its controller starts fresh."""
+        if self._handed or now - self._born > FRESH:
+            return
+        self._handed, self._done_rate = True, ev.done_rate or self._done_rate
+        self._mean, self._units = ev.mean or self._mean, ev.units or self._units
+        self._base |= {name: base for name, base in ev.bases.items() if base > 0}
+        for n in ev.servers:
+            if (s := self._servers.get(n.name)) is not None and s.entry.born == n.born:
+                s.cold_at, s.answers, s.pace, s.slow, s.rate = n.cold_at, n.answers, n.pace, n.slow, n.rate
+                s.budget_at = now
+        for note in ev.accounts:
+            key = note.plan, note.account
+            if (plan := self._plans.get(note.plan)) is None:
+                continue
+            if (a := self._accounts.get(key)) is None:
+                asked = api.Request(0, "", note.plan, 0.0, note.account, gateways=note.gateways)
+                a = Account(now, asked, plan, self._born, self._set.max_units, self._parts)
+                self._accounts[key] = self._names[a.name] = a
+            a.take(now, note)
+
+    def _leave(self, now: float, _ev: api.Leaving) -> None:
         self._leaving = True
+        for a in self._accounts.values():
+            if abs(a.pending) > 1e-9:
+                self._count(now, a)  # nobody else would tell it
 
     def _retune(self, now: float, ev: api.Settings) -> None:
         """New settings hold for what comes from now on; what is under way keeps its class."""
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -212,6 +212,46 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotes:
+    """What a process has learnt of a server, as it was born then."""
+
+    name: str
+    born: float
+    cold_at: float | None
+    answers: int
+    pace: float
+    slow: float
+    rate: float
+
+
+@dataclass(frozen=True, slots=True)
+class AccountNotes:
+    """What a process knows of a customer's quota, and the part of its ceiling that it gives away."""
+
+    plan: str
+    account: str
+    gateways: int
+    level: float
+    floor: float
+    ceiling: float
+    others: float
+    synced: float
+    total: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """What another process of this limiter has learnt, told once to one that has just begun."""
+
+    done_rate: float
+    mean: float
+    units: float
+    bases: Mapping[str, float]
+    servers: tuple[ServerNotes, ...]
+    accounts: tuple[AccountNotes, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """This process is to end: it is not ready for anything new."""
@@ -284,8 +324,15 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Hand:
+    """Give the process that has just come what this one has learnt."""
+
+    notes: Learned
+
+
 Event = (
     ServerList | Request | Outcome | Departed | Counted | Probed | TimerFired
-    | Uploaded | Call | Bans | Processes | Leaving | Settings
+    | Uploaded | Call | Bans | Processes | Learned | Leaving | Settings
 )  # fmt: skip
-Action = Send | Refuse | Fail | Cancel | Count | Probe | SetTimer | Log | Reply | Ban
+Action = Send | Refuse | Fail | Cancel | Count | Probe | SetTimer | Log | Reply | Ban | Hand
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -80,6 +80,7 @@
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.Count: self._count, api.Probe: self._probe, api.SetTimer: self._set_timer, api.Log: self._log,
             api.Reply: self._reply, api.Ban: self._ban,
+            api.Hand: lambda action: self._together.hand(action.notes),
         }  # fmt: skip
 
     @property
@@ -155,6 +156,10 @@
         self._upstream.shun(bans)
         self.feed(api.Bans(bans))
 
+    def learned(self, notes: api.Learned) -> None:
+        log.info("another process told of %d servers, %d customers", len(notes.servers), len(notes.accounts))
+        self.feed(notes)
+
     def retune(self, settings: api.Settings) -> None:
         """New settings; what is under way keeps what it came with."""
         self._settings = settings
--- a/cypresspulley/net/shared.py
+++ b/cypresspulley/net/shared.py
@@ -1,4 +1,5 @@
-"""What the processes of one limiter share in $TMPDIR: that they live, and which servers are out by hand.
+"""What the processes of one limiter share in $TMPDIR: that they live, which servers are out by hand, and
+what an old one has learnt, for a new one.
 
 Each process holds a lock on a file of its own; the kernel gives it back however the process ends, so that
 nothing stale passes for a living process. The bans lie in one file, written whole and then renamed.
@@ -10,16 +11,22 @@
 import fcntl
 import json
 import logging
+import math
 import os
 import secrets
 from collections.abc import Callable
+from dataclasses import asdict
 from pathlib import Path
+from typing import Any
+
+from cypresspulley import interface as api
 
 log = logging.getLogger(__name__)
 
 LOOK = 0.1  # seconds between two looks: within a second a ban must hold in the other process too
 FOLDER, PROCESS, BANS, LOCK = "cypresspulley", "process-", "bans.json", "bans.lock"
-MOST_BANS, MAX_FILE = 4096, 1024 * 1024
+MOST_BANS, MAX_FILE = 4096, 4 * 1024 * 1024
+NOTES = "notes-for-"  # what one process has learnt, for one other by the name of its file
 
 
 def _locked(path: Path, wait: bool) -> int | None:
@@ -33,6 +40,38 @@
     return fd
 
 
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise ValueError(f"not a number: {value!r:.40}")
+    return float(value)
+
+
+def _maybe(value: Any) -> float | None:
+    return None if value is None else _number(value)
+
+
+def _notes_from(raw: Any) -> api.Learned:
+    """The notes in their file's form; ``ValueError``, ``KeyError`` or ``TypeError`` where they are none."""
+    servers = tuple(
+        api.ServerNotes(
+            str(row["name"]), _number(row["born"]), _maybe(row["cold_at"]), int(_number(row["answers"])),
+            _number(row["pace"]), _number(row["slow"]), _number(row["rate"]),
+        )
+        for row in raw["servers"]
+    )  # fmt: skip
+    accounts = tuple(
+        api.AccountNotes(
+            str(row["plan"]), str(row["account"]), max(1, int(_number(row["gateways"]))),
+            _number(row["level"]), _number(row["floor"]), max(0.0, _number(row["ceiling"])),
+            _number(row["others"]), _number(row["synced"]), _maybe(row["total"]),
+        )
+        for row in raw["accounts"]
+    )  # fmt: skip
+    bases = {str(name): _number(base) for name, base in raw["bases"].items()}
+    done, mean, units = (max(0.0, _number(raw[key])) for key in ("done_rate", "mean", "units"))
+    return api.Learned(done, mean, units, bases, servers, accounts)
+
+
 class Shared:
     """This process's place among those of its limiter. Without a folder that can be written it is alone."""
 
@@ -43,6 +82,7 @@
         self._told: tuple[int, frozenset[str]] = 1, frozenset()
         self._file: tuple[int, int] | None = None
         self._bans, self._damaged = frozenset[str](), False
+        self._given = set[str]()  # processes that have this one's notes
         self._look_at: asyncio.TimerHandle | None = None
 
     def _enter(self, parent: Path, name: str) -> int | None:
@@ -65,23 +105,57 @@
 
     @property
     def processes(self) -> int:
-        """This one and the others that live; files of those that ended are cleared away."""
-        count = 1
+        """This one and the others that live."""
+        return 1 + len(self._others())
+
+    def _others(self) -> list[str]:
+        """The other processes that live; files of those that ended are cleared away."""
+        others = list[str]()
         if self._folder is None:
-            return count
+            return others
         try:
             for path in self._folder.iterdir():
                 if not path.name.startswith(PROCESS) or path.name == self._own:
                     continue
                 fd = _locked(path, wait=False)
                 if fd is None:
-                    count += 1
+                    others.append(path.name)
                 else:
                     path.unlink(missing_ok=True)
+                    (self._folder / f"{NOTES}{path.name}").unlink(missing_ok=True)
                     os.close(fd)
         except OSError as error:
             log.warning("cannot look for another process: %s", error)
-        return count
+        return others
+
+    def hand(self, notes: api.Learned) -> None:
+        """Write what this process has learnt for the one that has come; it is read once."""
+        fresh = [name for name in self._others() if name not in self._given]
+        if self._folder is None or len(fresh) != 1:
+            return  # a part of a ceiling is for one process
+        self._given.add(fresh[0])
+        try:
+            path = self._folder / f"{NOTES}{self._own}.new"
+            path.write_text(json.dumps(asdict(notes)))
+            path.rename(self._folder / f"{NOTES}{fresh[0]}")
+        except OSError as error:
+            log.warning("what this process has learnt could not be written down: %s", error)
+
+    def notes(self) -> api.Learned | None:
+        """What another process has left for this one; None where it left nothing that can be read."""
+        if self._folder is None:
+            return None
+        path = self._folder / f"{NOTES}{self._own}"
+        try:
+            with path.open("rb") as file:
+                text = file.read(MAX_FILE)
+            path.unlink()  # first: whatever it is, it is taken once
+            return _notes_from(json.loads(text))
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            log.warning("what another process has left cannot be read: %s", error)
+            return None
 
     def bans(self) -> frozenset[str]:
         """The servers that are out by hand; a damaged file changes nothing."""
@@ -126,13 +200,17 @@
                 os.close(lock)
         return self._bans
 
-    def watch(self, tell: Callable[[int, frozenset[str]], None]) -> None:
-        """Tell from now on when processes come or go, or bans change."""
+    def watch(
+        self, tell: Callable[[int, frozenset[str]], None], learn: Callable[[api.Learned], None]
+    ) -> None:
+        """Tell from now on when processes come or go, when bans change, and what another process has left."""
         now = self.processes, self.bans()
         if now != self._told:
             self._told = now
             tell(*now)
-        self._look_at = asyncio.get_running_loop().call_later(LOOK, self.watch, tell)
+        if (notes := self.notes()) is not None:
+            learn(notes)
+        self._look_at = asyncio.get_running_loop().call_later(LOOK, self.watch, tell, learn)
 
     def close(self) -> None:
         if self._look_at is not None:
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -80,10 +80,22 @@
         self.thin = plan.burst < 2 * self.share  # the even share holds next to nothing
         self.floor_cap = max(plan.burst / self.share, min(most, plan.burst) * self.thin)
 
-    def split(self, parts: int) -> None:
-        """So many processes are this gateway: what is beyond this one's part goes; others start with none."""
-        self.ways = self.share * parts
-        self.ceiling = min(self.ceiling, self.plan.ceiling_burst / self.ways)
+    def split(self, parts: int) -> float:
+        """So many processes are this gateway: each has a part of what is left; gives that of one other."""
+        before, self.ways = self.ways, self.share * parts
+        if self.ways > before:
+            self.ceiling *= before / self.ways
+            return self.ceiling
+        return 0.0
+
+    def take(self, now: float, note: api.AccountNotes) -> None:
+        """The notes of the process before: its count, and the part of the ceiling that it gave away."""
+        self.refill(now)
+        self.ceiling = min(self.plan.ceiling_burst / self.ways, self.ceiling + note.ceiling)
+        self.floor = min(self.floor, note.floor)
+        if self.total is None and not self.calls and note.total is not None and note.synced <= now:
+            self.total, self.synced, self.others = note.total, note.synced, note.others
+            self.level = min(self.level, note.level) - self.pending
 
     def refill(self, now: float) -> None:
         plan, dt, self.at = self.plan, max(0.0, now - self.at), now
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -18,6 +18,7 @@
 from cypresspulley import interface as api
 from cypresspulley.decide import Gateway
 from cypresspulley.net.shared import BANS, Shared
+from cypresspulley.quota import Account
 from cypresspulley.settings import SettingsError, check_retuned, settings_from
 from tests import world as w
 from tests.loopback import Origin, ask, listening, read_message, run
@@ -149,9 +150,9 @@
 
 
 def test_two_processes_of_a_limiter_keep_the_ceiling_together() -> None:
-    plan = api.Plan("capped", 1.0, 3.0, 9.0, ceiling_rate=4.0, ceiling_burst=12.0)
+    plan = api.Plan("capped", 1.0, 300.0, 900.0, ceiling_rate=4.0, ceiling_burst=12.0)
     config = w.settings(plans=(plan,))
-    worlds = [w.World(config, i) for i in range(4)]
+    worlds = [w.World(config, i) for i in range(3)]
     for world in worlds:
         world.feed(w.servers("s0", "s1", "s2", "s3"))
     store, now, sent = 12.0, 100.0, 0
@@ -161,23 +162,38 @@
         if step == 200:  # a second process of the first gateway begins, and later the old one ends
             worlds.append(w.World(config, 9, now))
             worlds[-1].feed(w.servers("s0", "s1", "s2", "s3"))
-            for world in (worlds[0], worlds[-1]):
-                world.feed(api.Processes(2))
+            worlds[-1].feed(api.Processes(2))
+            (hand,) = [a for a in worlds[0].feed(api.Processes(2)) if isinstance(a, api.Hand)]
+            for _ in range(2):  # told again it changes nothing
+                worlds[-1].feed(hand.notes)
         if step == 800:
             worlds[0] = worlds.pop()
             worlds[0].feed(api.Processes(1))
-        world = worlds[step % len(worlds) if step % 3 else 0 if step % 2 else -1]
-        if world is worlds[3]:
-            world = worlds[0]  # the customer's set has three gateways
-        world.advance(now)
-        world.serve()
-        world.answer_counts(api.Status.UNREACHABLE)
-        before = len(world.sends)
-        world.feed(w.request(step, "read", "capped", "acct", 3.0, 1.0))
-        store -= len(world.sends) - before
-        sent += len(world.sends) - before
+        for index, world in enumerate(worlds):
+            world.advance(now)
+            world.serve()
+            if 170 < step < 200:
+                continue  # the stores of the ceiling are half full when the second process comes
+            world.answer_counts(api.Status.UNREACHABLE)
+            before = len(world.sends)
+            for id in range(9):
+                world.feed(w.request(40 * step + 10 * index + id, "read", "capped", "acct", 3.0, 0.25))
+            store -= 0.25 * (len(world.sends) - before)
+            sent += len(world.sends) - before
         assert store >= -1e-6, "the ceiling was passed"
-    assert sent > 50
+    assert sent > 150
+
+
+def test_what_is_left_of_a_ceiling_is_split_and_never_copied() -> None:
+    plan = api.Plan("capped", 1.0, 3.0, 9.0, ceiling_rate=4.0, ceiling_burst=12.0)
+    asked = api.Request(1, "read", "capped", 1.0, "acct", gateways=3)
+    old = Account(100.0, asked, plan, 0.0, 4.0)
+    new = Account(100.0, asked, plan, 100.0, 4.0, 2)
+    old.ceiling = 2.0
+    note = api.AccountNotes("capped", "acct", 3, 9.0, 3.0, old.split(2), 0.0, 100.0, None)
+    new.take(100.0, note)
+    assert old.ceiling == new.ceiling == 1.0
+    assert old.split(1) == 0.0 and old.ceiling == 1.0
 
 
 def test_what_processes_share_outlives_one_and_survives_damage(tmp_path: Path) -> None:
@@ -206,6 +222,50 @@
     assert Shared(str(tmp_path / "missing"), "n1").change("x", True) == {"x"}  # alone, and it still works
 
 
+def test_a_new_process_takes_over_what_the_old_one_has_learnt() -> None:
+    old, new = w.World(w.settings()), w.World(w.settings(), 2)
+    for world in (old, new):
+        world.feed(w.servers("s0", "s1"))
+    for id in range(100):
+        old.feed(w.request(id, plan="small"))
+        old.advance(old.now + 0.05)
+        old.serve()
+        old.answer_counts()
+    old.feed(api.Call(1, api.Verb.SUSPEND, "s1"))
+    old.feed(api.Call(2, api.Verb.RESTORE, "s1"))  # it may be cold, and the list does not say so
+    new.now = old.now
+    new.gateway = Gateway(w.settings(), 3, old.now)
+    new.feed(w.servers("s0", "s1"))
+    new.feed(api.Processes(2))
+    (hand,) = [a for a in old.feed(api.Processes(2)) if isinstance(a, api.Hand)]
+    new.feed(hand.notes)
+    one, two = old.gateway, new.gateway
+    assert two._servers["s1"].cold_at == old.now and two._done_rate == one._done_rate > 0
+    (before,), (after,) = one._accounts.values(), two._accounts.values()
+    assert after.total == before.total is not None and after.name == before.name
+    assert after.level == pytest.approx(before.level + before.pending)
+    assert two._sum is None  # the controller begins fresh
+
+
+def test_what_one_process_hands_over_is_read_once_and_damage_is_passed_over(tmp_path: Path) -> None:
+    old, new = Shared(str(tmp_path), "n1"), Shared(str(tmp_path), "n1")
+    notes = api.Learned(
+        0.5, 0.1, 2.0, {"read": 0.04}, (api.ServerNotes("s0", 1.5, None, 3, 1.0, 1.1, 0.2),),
+        (api.AccountNotes("basic", "00000000b4d65521", 2, 3.0, 1.0, 0.5, 0.1, 7.0, None),),
+    )  # fmt: skip
+    old.hand(notes)
+    old.hand(notes)
+    assert new.notes() == notes and new.notes() is None and old.notes() is None
+    (folder,) = (path for path in tmp_path.iterdir() if path.is_dir())
+    for damage in (b"", b"[]", b"{}", b"\xff", b'{"servers": [], "accounts": [3], "bases": {}}'):
+        (folder / f"notes-for-{new._own}").write_bytes(damage)
+        assert new.notes() is None and not list(folder.glob("notes-for-*"))
+    third = Shared(str(tmp_path), "n1")
+    fourth = Shared(str(tmp_path), "n1")
+    old.hand(notes)  # two have come: a part of a ceiling is for one
+    assert third.notes() is None and fourth.notes() is None
+
+
 def test_a_new_version_takes_over_the_door_and_the_bans(tmp_path: Path) -> None:
     async def main() -> None:
         release, taken = asyncio.Event(), asyncio.Event()
