--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -489,7 +489,7 @@
         # That is the latest it warms up. Its answers tell what it can do: they take longer as it can do less,
         # and longer still where they wait, so that they never make it seem warmer than it is.
         if s.answers >= ENOUGH:
-            warmth = max(warmth, min(1.0, 0.9 / max(0.9, s.pace)))
+            warmth = max(warmth, min(1.0, 2 * warmth, 0.9 / max(0.9, s.pace)))
         fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate / self._parts
         s.budget += fill * (now - s.budget_at)
         s.budget, s.budget_at = min(fill * self._set.fall_window * 0.5, s.budget), now
