--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -46,6 +46,7 @@
         self._transport: asyncio.Transport | None = None
         self.written = deque[_Call]()
         self._buffer, self.paused, self.used, self._leaving = b"", False, 0.0, False
+        self.heard = 0.0  # when its last answer came
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
@@ -85,6 +86,7 @@
         self._client.lost(self)
 
     def data_received(self, data: bytes) -> None:
+        self.heard = self._client.now()
         *lines, self._buffer = (self._buffer + data).split(b"\n")
         for line in lines:
             if not self.usable:
@@ -131,12 +133,14 @@
         self._address, self._timeout = (host, port), timeout
         self._loop = asyncio.get_running_loop()
         self._link: _Link | None = None
+        # Connections go blind one by one while the counter serves: the next one is at hand when that shows.
+        self._spare: _Link | None = None
         self._left = set[_Link]()  # they only answer what they owe
         self._queued = deque[_Call]()
         # The decisions match results to calls by their order for a name: with two connections, one left
         # and one new, an answer that overtakes another waits for it here (for the time-out at most).
         self._order = dict[int, deque[_Call]]()
-        self._failing, self._dialed = False, 0.0
+        self._failing, self._dialed, self._closed = False, 0.0, False
         self._seen, self._looks = Counter[str](), 0
         self._dial: asyncio.Task[None] | None = None
         self._check_at: asyncio.TimerHandle | None = None
@@ -153,8 +157,14 @@
         if self._dial is not None:
             self._dial.cancel()
             self._dial = None
+        if (spare := self._spare) is not None:
+            self._spare = None
+            spare.abort()
         self._redial()
 
+    def now(self) -> float:
+        return self._loop.time()
+
     def retime(self, timeout: float) -> None:
         self._timeout = timeout
 
@@ -168,11 +178,12 @@
         self._put(call)
 
     def close(self) -> None:
+        self._closed = True
         if self._check_at is not None:
             self._check_at.cancel()
         if self._dial is not None:
             self._dial.cancel()
-        for link in (*self._left, self._link):
+        for link in (*self._left, self._link, self._spare):
             if link is not None:
                 link.abort()
 
@@ -202,7 +213,13 @@
         self._seen["connections ended"] += 1
         self._left.discard(link)
         if link is self._link:
-            self._link = None
+            self._link, self._spare = self._spare, None
+            self.flush()
+        elif link is self._spare:
+            self._spare = None
+        else:
+            return
+        if not self._closed:
             self._loop.call_later(max(0.0, self._dialed + REDIAL - self._loop.time()), self._redial)
 
     def noted(self, line: bytes) -> None:
@@ -221,6 +238,20 @@
             self.finish(call, Status.UNREACHABLE)
         else:
             self.finish(call, Status.TIMEOUT)  # it keeps its place: its answer is still to come
+            self._doubt(call)
+
+    def _doubt(self, call: _Call) -> None:
+        """Nothing has come since a call was written: the next calls go out where something may come."""
+        link, spare = self._link, self._spare
+        if link is None or spare is None or not spare.usable or spare.written:
+            return
+        if link.heard < call.sent and call in link.written:
+            self._seen["connections doubted"] += 1
+            self._link, self._spare = spare, None
+            self._left.add(link)
+            link.leave()
+            self.flush()
+            self._redial()
 
     def _check(self) -> None:
         """Redial a lost connection, ping an idle one, give up a silent one."""
@@ -239,10 +270,17 @@
             link.abort()
         elif link is not None and now - link.used > PING:
             self._put(_Call(b"ping\r\n", now))
+        if (spare := self._spare) is not None:
+            if spare.written and now - spare.written[0].sent > DEAD:
+                spare.abort()
+            elif now - spare.used > PING and not spare.written:
+                spare.write(_Call(b"ping\r\n", now), now)
         self._redial()
 
     def _redial(self) -> None:
-        settled = self._link is not None and self._link.address == self._address
+        settled = all(
+            link is not None and link.address == self._address for link in (self._link, self._spare)
+        )
         if self._check_at is None or self._check_at.cancelled() or self._dial is not None or settled:
             return
         self._dialed = self._loop.time()
@@ -261,11 +299,16 @@
         except asyncio.CancelledError:
             return link.abort()  # whoever cancelled it has forgotten it
         self._dial, self._failing, link.used = None, False, self._loop.time()
-        old, self._link = self._link, link
-        if old is not None:
-            self._left.add(old)
-            old.leave()
-        if link.usable:
-            self.flush()
+        old = self._link
+        if old is not None and old.address == address:
+            self._spare = link
         else:
+            self._link = link
+            if old is not None:
+                self._left.add(old)
+                old.leave()
+        if not link.usable:
             self.lost(link)  # it broke before it was known here
+        elif link is self._link:
+            self.flush()
+            self._redial()  # the spare one
