Keep room for usual clients in each of two processes; a crowd is judged by the whole bound

Kept, since with 256 descriptors half of the bound was less than a third of all, which usual clients may hold: 64 for clients and 40 for servers in each process now. SIGTERM goes by the retuned deadlines.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -32,7 +32,7 @@
 log = logging.getLogger("cypresspulley")
 
 SPARE_SOCKETS = 48  # descriptors kept for everything but clients and servers, and for those being closed
-SPARE_OF_TWO = 32  # for each process, while two of them share the descriptors
+SPARE_OF_TWO = 24  # for each process, while two of them share the descriptors
 ACCEPT_FOR = 0.5  # seconds after SIGTERM for which clients still come
 # And, after those, for what was taken. SIGKILL may come 3.7 s after SIGTERM, and what it finds is lost.
 ANSWER_WITHIN = 2.8
@@ -127,11 +127,15 @@
     return taken
 
 
-def share_of(sockets: int, processes: int) -> int:
-    """Connections that each side of this process may hold, clients' and servers'."""
-    spare = SPARE_SOCKETS if processes == 1 else SPARE_OF_TWO * processes
+def share_of(sockets: int, processes: int) -> tuple[int, int]:
+    """Connections that this process may hold, of clients and to servers."""
+    if processes > 1:
+        # Clients hold a third of all at most, and leave the old process one by one: it needs room for most.
+        clients = max(8, sockets // (2 * processes))
+        return clients, max(8, (sockets - SPARE_OF_TWO * processes) // processes - clients)
     # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
-    return max(8, (sockets - spare) // (2 * processes))
+    each = max(8, (sockets - SPARE_SOCKETS) // 2)
+    return each, each
 
 
 class Reload:
@@ -189,9 +193,9 @@
     clock = unix_clock()
     # Where there is no second address nobody can take a server out, and no second process comes.
     shared = Shared(os.environ.get("TMPDIR") if config.mgmt else None, config.name)
-    most = share_of(config.sockets, shared.processes)
+    clients, servers = share_of(config.sockets, 1)
     timing, figures = config.timing, Figures(c.name for c in config.settings.classes)
-    upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, most, figures)
+    upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, servers, figures)
     timeout = config.settings.counter_timeout
     counter = CounterClient(*config.counter, timeout) if config.counter and timeout else None
     try:
@@ -199,12 +203,13 @@
     except ValueError as error:
         raise ConfigError(str(error)) from None
     node = Node(config.settings, gateway, clock, upstream, counter, figures, shared)
-    frontend = Frontend(node, config.settings, most, figures)
+    frontend = Frontend(node, config.settings, clients, figures)
     mgmt = Mgmt(node) if config.mgmt else None
 
     def together(processes: int, bans: frozenset[str]) -> None:
-        for side in (frontend, upstream):
-            side.resize(share_of(config.sockets, processes))
+        clients, servers = share_of(config.sockets, processes)
+        frontend.resize(clients)
+        upstream.resize(servers)
         node.shared(processes, bans)
 
     shared.watch(together, node.learned)
@@ -236,7 +241,7 @@
     log.info("stopping")
     frontend.drain()
     node.leave()
-    longest = max((c.deadline for c in config.settings.classes), default=0.0)
+    longest = max((c.deadline for c in node.settings.classes), default=0.0)
     answer_within = ANSWER_WITHIN + max(0.0, longest - USUAL_DEADLINE)
     if shared.processes > 1:
         # The other process takes what comes. Clients that hold connections here leave with their next answer;
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -625,6 +625,7 @@
         self.draining = False
         self.open_ids = set[bytes]()
         self._max = max_connections
+        self._crowd = CROWDED * max_connections
         self.spoken = 0  # connections that have sent something
         self._sweep_at: asyncio.TimerHandle | None = None
         self._clients = dict[_Client, None]()  # in the order of their coming
@@ -666,13 +667,15 @@
     @property
     def closing(self) -> bool:
         """Whether answers say that their connection closes."""
-        return self.draining or self.spoken > CROWDED * self._max
+        return self.draining or self.spoken > self._crowd
 
     def drain(self) -> None:
         """From now on every answer says that its connection closes."""
         self.draining = True
 
     def resize(self, max_connections: int) -> None:
+        """Another bound, while another process holds the rest: clients leave the old one for good then, so
+        that closing behind every answer would only make them connect twice."""
         self._max = max_connections
 
     def stop(self) -> None:
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -70,7 +70,7 @@
     ) -> None:
         self._figures, self._together = figures or Figures(), shared or Shared(None, "")
         self._calls, self._last_call = dict[int, tuple[api.Verb, Callable[[bool, str], None]]](), 0
-        self._settings, self._gateway, self._clock = settings, gateway, clock
+        self.settings, self._gateway, self._clock = settings, gateway, clock
         self._upstream, self._counter = upstream, counter
         self._loop = asyncio.get_running_loop()
         self._open = dict[int, _Open]()
@@ -112,10 +112,10 @@
         assert event is not None
         margin = self._margin(event.ttl)
         if event.uploading:  # its time begins with its last byte
-            self._open[event.id] = _Open(request, math.inf, self._settings.max_attempts)
+            self._open[event.id] = _Open(request, math.inf, self.settings.max_attempts)
             return self.feed(replace(event, ttl=event.ttl - margin))
         opened = self._open[event.id] = _Open(
-            request, self._clock() + event.ttl - margin, self._settings.max_attempts
+            request, self._clock() + event.ttl - margin, self.settings.max_attempts
         )
         last = event.ttl - SILENT_SHARE * margin
         opened.timer = self._loop.call_later(last, self._abandon, event.id, 504)
@@ -162,7 +162,7 @@
 
     def retune(self, settings: api.Settings) -> None:
         """New settings; what is under way keeps what it came with."""
-        self._settings = settings
+        self.settings = settings
         self._figures.know(c.name for c in settings.classes)
         self.feed(settings)
 
@@ -227,7 +227,7 @@
             action.server, request.head, request.body, expires, done, begun, request.upload, wait
         )
         opened.attempts.append(attempt)
-        if number < min(opened.most, self._settings.max_attempts):
+        if number < min(opened.most, self.settings.max_attempts):
             self._upstream.start(attempt)
         else:
             self._upstream.end(attempt, api.Status.NOT_SENT)
@@ -288,14 +288,14 @@
             )
 
     def _probe(self, action: api.Probe) -> None:
-        path = b"/load" if self._settings.load_on_probe else b"/healthz"
+        path = b"/load" if self.settings.load_on_probe else b"/healthz"
         head = b"GET %b HTTP/1.1\r\nHost: %b\r\n" % (path, action.server.encode())
         expires = self._clock() + PROBE_TIMEOUT
         self._upstream.start(Exchange(action.server, head, b"", expires, self._probed, probe=True))
 
     def _probed(self, probe: Exchange) -> None:
         report = probe.report
-        if self._settings.load_on_probe and probe.status is api.Status.OK and not report:
+        if self.settings.load_on_probe and probe.status is api.Status.OK and not report:
             report = load_report(probe.answer.decode("latin-1"))
         self.feed(api.Probed(probe.server, probe.status, probe.elapsed, report))
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -16,6 +16,7 @@
 import pytest
 
 from cypresspulley import interface as api
+from cypresspulley.__main__ import share_of
 from cypresspulley.decide import Gateway
 from cypresspulley.net.shared import BANS, Shared
 from cypresspulley.quota import Account
@@ -184,6 +185,13 @@
     assert sent > 150
 
 
+@pytest.mark.parametrize("sockets", [256, 384, 1024])
+def test_two_processes_share_the_descriptors_and_keep_room_for_usual_clients(sockets: int) -> None:
+    (clients, servers), alone = share_of(sockets, 2), share_of(sockets, 1)
+    assert 2 * (clients + servers) + 2 * 20 <= sockets and sum(alone) + 40 <= sockets
+    assert clients * 2 > sockets / 3 and servers >= 32
+
+
 def test_what_is_left_of_a_ceiling_is_split_and_never_copied() -> None:
     plan = api.Plan("capped", 1.0, 3.0, 9.0, ceiling_rate=4.0, ceiling_burst=12.0)
     asked = api.Request(1, "read", "capped", 1.0, "acct", gateways=3)
