Let a second process share the address without a handed socket; a first head's time starts at connect

Where no socket is handed over a second process ended with 2. With a second address both now listen with SO_REUSEPORT; without one an address in use is refused as before. A peer that connects, waits and then trickles its first head was answered 2.7 s after its first byte, up to 4.7 s after connecting; the limit is 3 s. Tests: both ways of taking over the door; the late head, seen to fail without.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -216,7 +216,8 @@
     if config.known is not None:
         node.listed(config.known)
     try:
-        await frontend.listen(*config.listen, inherited_socket())
+        # Where no socket is handed over, a new version can still stand beside the old one.
+        await frontend.listen(*config.listen, inherited_socket(), beside=config.mgmt is not None)
         if mgmt is not None and config.mgmt is not None:
             await mgmt.listen(*config.mgmt)
     except OSError as error:
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -244,6 +244,7 @@
         self._drained, self._linger = 0, (LINGER, LINGER_BYTES)
         self._upload: Pipe | None = None  # the long body that is being read
         self._held = False  # its server takes no more for now
+        self._asked = False  # whether a request has come whole
         self._body_since, self._body_at = 0.0, 0
 
     @property
@@ -320,7 +321,8 @@
         self._head, self._body, self._size = [], [], 0
         self._head_read, self._reading = False, True
         self._length, self._chunked, self._expects, self._trailed = None, False, False, 0
-        if not self._waiting:
+        # The first request's time begins with the connection: whoever never asks must be answered by then.
+        if not self._waiting and self._asked:
             self.since = self.frontend.clock()
         elif len(self._waiting) >= MAX_PIPELINE:
             # Reading stops at this many, but one read may bring hundreds.
@@ -403,7 +405,7 @@
     def on_message_complete(self) -> None:
         if self._rejected:
             return
-        self._reading, self._size = False, 0
+        self._reading, self._size, self._asked = False, 0, True
         if (upload := self._upload) is not None:
             self._upload, request = None, self._waiting[-1]
             if request.answer is None:
@@ -632,11 +634,15 @@
         self._server: asyncio.Server | None = None
         self._empty = asyncio.Event()
 
-    async def listen(self, host: str, port: int, inherited: socket.socket | None = None) -> tuple[str, int]:
-        """Take connections at an address, or from a listening socket that others hold as well."""
+    async def listen(
+        self, host: str, port: int, inherited: socket.socket | None = None, beside: bool = False
+    ) -> tuple[str, int]:
+        """Take connections at an address, which another process may have too, or from a listening socket."""
         loop = asyncio.get_running_loop()
         if inherited is None:
-            self._server = await loop.create_server(lambda: _Client(self), host, port, backlog=BACKLOG)
+            self._server = await loop.create_server(
+                lambda: _Client(self), host, port, backlog=BACKLOG, reuse_port=beside or None
+            )
         else:
             inherited.setblocking(False)
             self._server = await loop.create_server(lambda: _Client(self), sock=inherited, backlog=BACKLOG)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -438,3 +438,23 @@
         return await reader.read() == b""
     except ConnectionResetError:
         return True
+
+
+def test_a_first_request_that_comes_late_and_slowly_has_its_time_from_the_connection_on() -> None:
+    async def main() -> None:
+        async with Limiter(Script(refuse), {}) as limiter:
+            _, writer = await limiter.connect()
+            while not limiter.frontend._clients:
+                await asyncio.sleep(0.001)
+            (client,) = limiter.frontend._clients
+            client.since = came = client.since - 1.9
+            writer.write(b"GET /lookup")
+            while not client._reading:
+                await asyncio.sleep(0.001)
+            assert client.since == came
+            client.check(came + frontend.HEAD - 0.1)
+            assert not client._rejected
+            client.check(came + frontend.HEAD + 0.1)
+            assert client._rejected
+
+    run(main())
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -274,7 +274,8 @@
     assert third.notes() is None and fourth.notes() is None
 
 
-def test_a_new_version_takes_over_the_door_and_the_bans(tmp_path: Path) -> None:
+@pytest.mark.parametrize("handed", [True, False])
+def test_a_new_version_takes_over_the_door_and_the_bans(handed: bool, tmp_path: Path) -> None:
     async def main() -> None:
         release, taken = asyncio.Event(), asyncio.Event()
 
@@ -288,12 +289,14 @@
         ports = free_port(), free_port()
         with socket.create_server(("127.0.0.1", 0)) as door:
             host, port = door.getsockname()
-            env = {"TMPDIR": str(tmp_path), "LB_LISTEN_FD": str(door.fileno())}
+            env = {"TMPDIR": str(tmp_path)} | ({"LB_LISTEN_FD": str(door.fileno())} if handed else {})
+            if not handed:
+                door.close()
 
             def beside(dial: str, mgmt: int) -> object:
                 raw = config(dial) | {"listen": f"{host}:{port}", "mgmt": f"127.0.0.1:{mgmt}"}
                 (tmp_path / str(mgmt)).mkdir()
-                return started(raw, tmp_path / str(mgmt), (door.fileno(),), **env)
+                return started(raw, tmp_path / str(mgmt), (door.fileno(),) if handed else (), **env)
 
             async with listening(talk) as dial, beside(dial, ports[0]) as old:  # type: ignore[attr-defined]
                 assert isinstance(old, Program)
