Send no probe to a server out by hand either

Restarted during a ban it may be taken for lost, and the decisions then asked for a probe every 1.5 s; the sockets already refused to send it. Test in test_operators, with and without a ban.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -169,7 +169,7 @@
             self._done_rate += (0.3 if self._done_rate else 1.0) * (sum(warm) / len(warm) - self._done_rate)
         for s in self._servers.values():
             s.rate, s.done = s.rate + (0.3 if s.rate else 1.0) * (s.done / dt - s.rate), 0.0
-            if s.up and s.lost and s.trial and self._set.may_probe:
+            if s.up and s.lost and s.trial and self._set.may_probe and s.entry.name not in self._banned:
                 self._out.append(api.Probe(s.entry.name))  # a probe is a cheaper trial than a request
                 s.out_until = max(s.out_until, now + 1.5 * INTERVAL)
         if any(s.gone for s in self._servers.values()):
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -136,6 +136,17 @@
     assert not server.trial and not server.lost
 
 
+def test_a_server_out_by_hand_is_not_even_probed() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1"))
+    server = world.gateway._servers["s0"]
+    for names, probes in ((set[str](), 1), ({"s0"}, 0)):
+        server.lost = server.trial = True
+        world.feed(api.Bans(frozenset(names)))
+        actions = world.feed(api.TimerFired(world.gateway._timer))
+        assert sum(isinstance(a, api.Probe) for a in actions) == probes
+
+
 def test_readiness_begins_with_a_list_and_ends_with_leaving() -> None:
     gateway = Gateway(w.settings(), 1, 0.0)
 
