Spread and grow the waits between calls to discovery; a busy one keeps the version

Each limiter called discovery every 0.25 s after a failure and, after a 503, without its version, so for the whole list. Logged call by call: the first forty calls are answered one in 0.12 s; those that wait 2 s get a 503; from 2.5 s on the line is full, and for 10 s not one call in the fleet is answered (0 of some 1,000). Servers that drained or were gone stayed in use: 716 attempts answered full, 190 times a server was put out as lost, 651 requests gave up after their attempts.

At fault: the fixed RETRY in net/discovery.py follow(), and on_headers_complete(), which forgot the version on any status.

Now the first wait is spread over 75 ms for each limiter of the settings, grows to four times that, with full jitter. The log has calls to discovery every 10 s.

--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -5,8 +5,10 @@
 import asyncio
 import json
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import httptools
@@ -17,7 +19,11 @@
 log = logging.getLogger(__name__)
 
 SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
-RETRY = 0.25
+# All limiters lose discovery in the same moment, and it serves their calls in turn. Its line was ever full of
+# calls that had waited too long when their turn came, and it answered none. So calls are spread over a time
+# that grows with the number of limiters, and twice with each failure.
+SPREAD, LEAST_SPREAD, MOST_GROWTH = 0.075, 0.25, 4  # seconds for each limiter; least of all; times the first
+REPORT = 10.0  # seconds between two log lines on the calls
 MAX_LINE = 4 * 1024 * 1024
 HEALTH = {"ready": api.Health.UP, "draining": api.Health.DRAINING, "gone": api.Health.GONE}
 
@@ -49,24 +55,46 @@
         raise ValueError(f"not a list of servers: {error!r:.80}") from None
 
 
+def pause(gateways: int, failed: int, draw: float) -> float:
+    """Seconds until the next call after so many in vain: exponential back-off with full jitter."""
+    return draw * max(LEAST_SPREAD, SPREAD * gateways) * min(MOST_GROWTH, 2.0 ** min(failed, 16))
+
+
 class Discovery:
     """Follows the watch for ever; a broken or silent one is begun anew and the list kept."""
 
-    def __init__(self, host: str, port: int, since: int | None, tell: Callable[[Listing], None]) -> None:
+    def __init__(
+        self, host: str, port: int, since: int | None, tell: Callable[[Listing], None],
+        gateways: int = 1, rng: Random | None = None,
+    ) -> None:  # fmt: skip
+        self._gateways, self._rng = gateways, rng or Random()
         self._host, self._port, self._since, self._tell = host, port, since, tell
-        self._buffer, self._failing = b"", False
+        self._buffer, self._failed = b"", 0  # failures in a row
+        self._seen, self._told_at = Counter[str](), 0.0
 
     async def follow(self) -> None:
         while True:
+            # The first call too: a release starts many limiters in the same moment.
+            await asyncio.sleep(pause(self._gateways, self._failed, self._rng.random()))
             try:
                 await self._watch()
             except (OSError, TimeoutError, httptools.HttpParserError) as error:
-                if not self._failing:  # once for a row of failures
-                    log.warning("the watch on discovery ended: %r", error)
-                self._failing = True
+                cause = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else error
+                if not self._failed:  # once for a row of failures
+                    log.warning("the watch on discovery ended: %r", cause)
             except Exception:
                 log.exception("the watch on discovery failed")
-            await asyncio.sleep(RETRY)
+            self._failed += 1
+            self._note("failed")
+
+    def _note(self, what: str) -> None:
+        self._seen[what] += 1
+        now = asyncio.get_running_loop().time()
+        if now - self._told_at > REPORT:
+            told = ", ".join(f"{k} {n}" for k, n in sorted(self._seen.items()))
+            log.info("calls to discovery: %s", told)
+            self._seen.clear()
+            self._told_at = now
 
     async def _watch(self) -> None:
         async with asyncio.timeout(SILENCE):
@@ -90,7 +118,9 @@
 
     def on_headers_complete(self) -> None:
         if (code := self._parser.get_status_code()) != 200:
-            self._since = None  # it may be the version that is not taken
+            if code < 500 and code != 429:
+                self._since = None  # it may be the version that is not taken
+            # Turned away as too busy it would be the busier for the whole list, whose every line is work.
             raise ConnectionError(f"status {code}")
 
     def on_body(self, body: bytes) -> None:
@@ -112,15 +142,16 @@
         except ValueError as error:
             log.warning("dropped an unreadable line of discovery: %s", error)
             return
-        self._since, self._failing = listing.version, False
+        self._since, self._failed = listing.version, 0
+        self._note("told")
         self._tell(listing)
 
 
 class Follower:
     """Follows discovery at the newest address; the one before is followed until the newest has spoken."""
 
-    def __init__(self, tell: Callable[[Listing], None]) -> None:
-        self._tell = tell
+    def __init__(self, tell: Callable[[Listing], None], gateways: int = 1, rng: Random | None = None) -> None:
+        self._tell, self._gateways, self._rng = tell, gateways, rng or Random()
         self._heard: asyncio.Task[None] | None = None  # the watch that has spoken last
         self._coming: asyncio.Task[None] | None = None
         self._address: tuple[str, int] | None = None
@@ -132,7 +163,9 @@
         if self._coming is not None:
             self._coming.cancel()  # told to move again before it said anything
         # Without a version another discovery tells the whole list: its numbers need not be the old one's.
-        watch = Discovery(host, port, since, lambda listing: self._said(task, listing))
+        watch = Discovery(
+            host, port, since, lambda listing: self._said(task, listing), self._gateways, self._rng
+        )
         task = self._coming = asyncio.get_running_loop().create_task(watch.follow())
 
     def close(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from random import Random
 from typing import Any
 
 import pytest
@@ -119,6 +120,29 @@
     run(main())
 
 
+def test_a_watch_turned_away_as_too_busy_is_not_asked_for_the_whole_list() -> None:
+    async def main() -> None:
+        busy = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+        agent = Agent([busy], [HEAD, chunk(message(58))])
+        await follow(agent, 1, 2)
+        assert agent.asked[1] == "/v1/servers?follow=1&since=41"
+
+    run(main())
+
+
+def test_calls_of_a_fleet_that_lost_discovery_together_stay_below_what_it_serves() -> None:
+    """Forty limiters call in the same moment and then in vain; eight calls a second are served."""
+    rngs = [Random(seed) for seed in range(40)]
+    first = [discovery.pause(40, 0, rng.random()) for rng in rngs]
+    again = [discovery.pause(40, 2, rng.random()) for rng in rngs]
+    for waits, most in ((first, 24), (again, 8)):
+        busiest = max(sum(at <= wait < at + 1 for wait in waits) for at in range(12))
+        assert busiest <= most, "they call in step"
+    assert max(first) < 3.0 < max(again) <= 12.0
+    assert max(discovery.pause(40, 1000, 0.99), discovery.pause(40, 2, 0.99)) <= 12.0, "it grows for ever"
+    assert discovery.pause(3, 0, 0.99) <= 0.25 and discovery.pause(3, 9, 0.99) <= 1.0
+
+
 def test_a_move_follows_the_old_until_the_new_has_spoken() -> None:
     async def main() -> None:
         speak, versions, heard = asyncio.Event(), list[int](), asyncio.Event()
