Draw the length of a counter's silence and save up no calls for its end

All gateways see the crowd as silence, wait exactly 1.0 s (quota.py Calls.ended) and come back with room saved up: that is the next crowd. In it quotas go by the even share.

Ruled out: blind connections (no call stayed without an answer), ticks in step (the period is 1.1 s, not 1.0).

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -285,7 +285,7 @@
             return
         step, held, units, made = a.calls.pop(0)
         a.refill(now)
-        self._calls.ended(now, ev.status, made)
+        self._calls.ended(now, ev.status, made, self._rng.random())
         if ev.status is Status.OK:
             a.told(now, ev.total, step, units)
         else:
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -18,12 +18,16 @@
 
     def left(self, now: float) -> float:
         """Calls that may be made now."""
-        self.room = min(2 + 0.2 * self.rate, self.room + self.rate * (now - self.at))
-        self.at = now
+        self.room = min(2 + 0.2 * self.rate, self.room + self.rate * max(0.0, now - self.at))
+        self.at = max(self.at, now)
         return self.room if now >= self.silent_until else 0.0
 
-    def ended(self, now: float, status: Status, made: float) -> None:
-        """One sign of silence is a queue or a break; two with no answer between are silence, for a second.
+    def ended(self, now: float, status: Status, made: float, draw: float = 0.5) -> None:
+        """One sign of silence is a queue or a break; two with no answer between are silence, for a while.
+
+        All gateways see a silence at the same moment. So its length is drawn by each for itself and grows
+        while nothing is answered, and who comes back has saved up no calls for it: after one second for all
+        they came back as one crowd, which was the next silence.
 
         Calls that were out together end together, when their connection breaks or behind one queue: one
         event, one sign. Where each time-out of a burst counted, a crowd of calls passed for a silent counter,
@@ -42,7 +46,8 @@
             self.rate *= 1.0 if status is Status.BROKEN else 0.9
             self.rate = max(self.least, self.rate)
         if status not in (Status.OK, Status.FULL, Status.SPOILT) and self.misses > 1:
-            self.silent_until = now + 1.0
+            self.silent_until = now + (0.5 + draw) * min(2.0, 0.5 * self.misses)
+            self.at, self.room = self.silent_until, min(1.0, self.room)
 
 
 class Account:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,34 @@
+"""What is harmless alone and harmful when forty limiters do it: several gateways on one made clock."""
+
+from __future__ import annotations
+
+from random import Random
+
+from cypresspulley import interface as api
+from cypresspulley.quota import Calls
+
+FLEET = 40
+
+
+def test_gateways_that_saw_one_silence_of_the_counter_do_not_come_back_as_one_crowd() -> None:
+    rngs = [Random(seed) for seed in range(FLEET)]
+    fleet = [Calls(100.0, FLEET, rng.random()) for rng in rngs]
+    ends = []
+    for calls, rng in zip(fleet, rngs, strict=True):
+        for at in (101.0, 102.0):
+            calls.left(at)
+            calls.ended(at, api.Status.TIMEOUT, at - 0.01, rng.random())
+        ends.append(calls.silent_until)
+        assert calls.left(calls.silent_until - 1e-6) == 0
+        assert calls.left(calls.silent_until) <= 1, "it saved up calls while it made none"
+    assert max(sum(at <= end < at + 0.1 for end in ends) for at in (102.4 + n * 0.1 for n in range(12))) <= 10
+
+
+def test_a_longer_silence_of_the_counter_is_tried_less_often() -> None:
+    calls, waits = Calls(100.0, FLEET, 0.5), []
+    at = 101.0
+    for _ in range(6):
+        calls.ended(at, api.Status.TIMEOUT, at, 0.5)
+        waits.append(calls.silent_until - at)
+        at = max(at, calls.silent_until) + 0.1
+    assert waits[1:] == sorted(waits[1:]) and waits[1] < waits[-1] <= 2.0
