Divide the rise of the rate of counter calls by the gateways, as the rate itself is

Refusals for the ceiling rise by as much as those for quotas fall: its even share is the next cause.

--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -6,6 +6,7 @@
 from cypresspulley.interface import Status
 
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
+RISE = 15.0  # calls a second that all may make more, a second later, while the counter answers
 
 
 class Calls:
@@ -13,6 +14,7 @@
 
     def __init__(self, now: float, gateways: int, draw: float) -> None:
         self.rate, self.least = CALLS / gateways, 2 * CALLS / gateways / 100
+        self.rise = min(5.0, RISE / gateways)
         self.room = 0.2 * self.rate + draw  # in random debt: fresh fleets call in turn
         self.at, self.sign, self.silent_until, self.misses = now, now, 0.0, 0
 
@@ -40,7 +42,7 @@
         fresh, self.sign = made >= self.sign, now if status is not Status.OK else self.sign
         if status is Status.OK:
             self.misses = 0
-            self.rate = min(CALLS, self.rate + 5.0 / self.rate)
+            self.rate = min(CALLS, self.rate + self.rise / self.rate)
         elif status is not Status.SPOILT and fresh:
             self.misses += status is not Status.FULL
             self.rate *= 1.0 if status is Status.BROKEN else 0.9
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -32,3 +32,15 @@
         waits.append(calls.silent_until - at)
         at = max(at, calls.silent_until) + 0.1
     assert waits[1:] == sorted(waits[1:]) and waits[1] < waits[-1] <= 2.0
+
+
+def test_the_fleet_raises_its_counter_calls_together_no_faster_than_few_gateways_do() -> None:
+    risen = {}
+    for size in (3, FLEET):
+        calls, at = Calls(100.0, size, 0.0), 100.0
+        before = calls.rate
+        while at < 102.0:  # answered at the rate that it may call at
+            at += 1 / calls.rate
+            calls.ended(at, api.Status.OK, at - 0.01)
+        risen[size] = size * (calls.rate - before)
+    assert 20 < risen[FLEET] < 1.3 * risen[3] < 50
