--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -224,7 +224,7 @@
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     since = config.known.version if config.known else None
-    follower = Follower(node.listed, config.settings.gateways, Random(config.seed))
+    follower = Follower(node.listed, timing.callers, Random(config.seed))
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -21,8 +21,8 @@
 SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
 # All limiters lose discovery in the same moment, and it serves their calls in turn. Its line was ever full of
 # calls that had waited too long when their turn came, and it answered none. So calls are spread over a time
-# that grows with the number of limiters, and twice with each failure.
-SPREAD, LEAST_SPREAD, MOST_GROWTH = 0.075, 0.25, 4  # seconds for each limiter; least of all; times the first
+# that grows with the number of limiters, and twice with each failure. Where it pushes, calls cost nothing.
+SPREAD, LEAST_SPREAD, MOST_GROWTH = 0.075, 0.25, 4  # seconds for each caller; least of all; times the first
 REPORT = 10.0  # seconds between two log lines on the calls
 MAX_LINE = 4 * 1024 * 1024
 HEALTH = {"ready": api.Health.UP, "draining": api.Health.DRAINING, "gone": api.Health.GONE}
@@ -55,9 +55,9 @@
         raise ValueError(f"not a list of servers: {error!r:.80}") from None
 
 
-def pause(gateways: int, failed: int, draw: float) -> float:
+def pause(callers: int, failed: int, draw: float) -> float:
     """Seconds until the next call after so many in vain: exponential back-off with full jitter."""
-    return draw * max(LEAST_SPREAD, SPREAD * gateways) * min(MOST_GROWTH, 2.0 ** min(failed, 16))
+    return draw * max(LEAST_SPREAD, SPREAD * callers) * min(MOST_GROWTH, 2.0 ** min(failed, 16))
 
 
 class Discovery:
@@ -65,9 +65,9 @@
 
     def __init__(
         self, host: str, port: int, since: int | None, tell: Callable[[Listing], None],
-        gateways: int = 1, rng: Random | None = None,
+        callers: int = 1, rng: Random | None = None,
     ) -> None:  # fmt: skip
-        self._gateways, self._rng = gateways, rng or Random()
+        self._callers, self._rng = callers, rng or Random()
         self._host, self._port, self._since, self._tell = host, port, since, tell
         self._buffer, self._failed = b"", 0  # failures in a row
         self._seen, self._told_at = Counter[str](), 0.0
@@ -75,7 +75,7 @@
     async def follow(self) -> None:
         while True:
             # The first call too: a release starts many limiters in the same moment.
-            await asyncio.sleep(pause(self._gateways, self._failed, self._rng.random()))
+            await asyncio.sleep(pause(self._callers, self._failed, self._rng.random()))
             try:
                 await self._watch()
             except (OSError, TimeoutError, httptools.HttpParserError) as error:
@@ -150,8 +150,8 @@
 class Follower:
     """Follows discovery at the newest address; the one before is followed until the newest has spoken."""
 
-    def __init__(self, tell: Callable[[Listing], None], gateways: int = 1, rng: Random | None = None) -> None:
-        self._tell, self._gateways, self._rng = tell, gateways, rng or Random()
+    def __init__(self, tell: Callable[[Listing], None], callers: int = 1, rng: Random | None = None) -> None:
+        self._tell, self._callers, self._rng = tell, callers, rng or Random()
         self._heard: asyncio.Task[None] | None = None  # the watch that has spoken last
         self._coming: asyncio.Task[None] | None = None
         self._address: tuple[str, int] | None = None
@@ -164,7 +164,7 @@
             self._coming.cancel()  # told to move again before it said anything
         # Without a version another discovery tells the whole list: its numbers need not be the old one's.
         watch = Discovery(
-            host, port, since, lambda listing: self._said(task, listing), self._gateways, self._rng
+            host, port, since, lambda listing: self._said(task, listing), self._callers, self._rng
         )
         task = self._coming = asyncio.get_running_loop().create_task(watch.follow())
 
--- a/cypresspulley/settings.py
+++ b/cypresspulley/settings.py
@@ -23,6 +23,7 @@
 
     dial_timeout: float
     conn_idle: float
+    callers: int = 1  # limiters whose calls to discovery wait for each other: one, where it pushes
 
 
 def _word(table: dict[str, T], what: str, word: object) -> T:
@@ -114,7 +115,8 @@
 def timing_from(raw: dict[str, Any]) -> Timing:
     """The connection times of the settings object."""
     limits = _section(raw, "limits")
-    timing = Timing(_number(limits, "dial_timeout_s", 0.25), _number(limits, "conn_idle_s", 30.0))
+    callers = max(1, int(_number(raw, "n_instances", 1))) if raw.get("discovery") == "ask" else 1
+    timing = Timing(_number(limits, "dial_timeout_s", 0.25), _number(limits, "conn_idle_s", 30.0), callers)
     if timing.dial_timeout <= 0 or timing.conn_idle <= 0:
         raise SettingsError("settings: dial_timeout_s and conn_idle_s must be above 0")
     return timing
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,6 +12,7 @@
 from cypresspulley import interface as api
 from cypresspulley.net import discovery
 from cypresspulley.net.discovery import Discovery, Follower, Listing, listing_from
+from cypresspulley.settings import timing_from
 from tests.loopback import listening, run
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -179,3 +180,9 @@
             follower.close()
 
     run(main())
+
+
+def test_calls_are_spread_by_the_number_of_limiters_only_where_discovery_is_asked() -> None:
+    raw = {"n_instances": 40, "discovery": "ask"}
+    assert timing_from(raw).callers == 40
+    assert timing_from(raw | {"discovery": "push"}).callers == timing_from({}).callers == 1
