Raise counter calls by what answers show of the line, before any is lost

At fault: quota.py Calls.ended saw a line only when it lost answers. Answers take 5 to 6 ms without a line and 16 to 23 ms before they are lost (logged). Now a step up for each quick answer, a cut for one that took a quarter of the time-out more than usual.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -89,7 +89,7 @@
         self._units = 0.0  # mean units of a request
         self._mean, self._retries = 0.0, 10.0  # mean work of a request; further attempts that may be made
         self._filled = self._ticked = now
-        self._calls = Calls(now, settings.gateways, self._rng.random())
+        self._calls = Calls(now, settings.gateways, self._rng.random(), settings.counter_timeout)
         self._banned, self._parts = frozenset[str](), 1  # servers out by hand; processes of this limiter
         self._handed = False  # whether the process before has told what it knew
         self._told = self._leaving = False  # whether a list has come; whether this process is to end
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -6,15 +6,18 @@
 from cypresspulley.interface import Status
 
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
-RISE = 15.0  # calls a second that all may make more, a second later, while the counter answers
+# Calls a second that one may make more, a second later, while the counter answers quickly, and for each answer:
+# one that hears of the line four times a second must not outrun what it hears.
+RISE, STEP = 5.0, 0.15
+LINE = 0.25  # of the time-out above the usual: answers that take so much longer have waited in a line
 
 
 class Calls:
     """How many calls the counter bears, and whether it answers at all."""
 
-    def __init__(self, now: float, gateways: int, draw: float) -> None:
+    def __init__(self, now: float, gateways: int, draw: float, timeout: float = 0.0) -> None:
         self.rate, self.least = CALLS / gateways, 2 * CALLS / gateways / 100
-        self.rise = min(5.0, RISE / gateways)
+        self.usual, self.line = 0.0, LINE * timeout if timeout > 0 else float("inf")
         self.room = 0.2 * self.rate + draw  # in random debt: fresh fleets call in turn
         self.at, self.sign, self.silent_until, self.misses = now, now, 0.0, 0
 
@@ -39,10 +42,19 @@
         balancer that drops connections. It could do harm where a counter breaks each connection: every
         second call is then made in vain, and each costs its request the time of a break.
         """
-        fresh, self.sign = made >= self.sign, now if status is not Status.OK else self.sign
+        took = now - made
+        if status is Status.OK:
+            self.usual += (took - self.usual) * (0.02 if took > self.usual > 0 else 0.5)
+        slow = status is not Status.OK or took > self.usual + self.line
+        fresh, self.sign = made >= self.sign, now if slow else self.sign
         if status is Status.OK:
             self.misses = 0
-            self.rate = min(CALLS, self.rate + self.rise / self.rate)
+            # The line shows in the answers before it loses any. Where the rate rose until calls timed out, a
+            # fleet rose as fast as it is large; at a slower rise busy gateways wanted calls that were there.
+            if not slow:
+                self.rate = min(CALLS, self.rate + min(STEP, RISE / self.rate))
+            elif fresh:
+                self.rate = max(self.least, 0.95 * self.rate)
         elif status is not Status.SPOILT and fresh:
             self.misses += status is not Status.FULL
             self.rate *= 1.0 if status is Status.BROKEN else 0.9
