--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -37,7 +37,7 @@
 def test_counter_calls_grow_while_answers_are_quick_and_shrink_before_any_is_lost() -> None:
     calls, at = Calls(100.0, FLEET, 0.0, timeout=0.03), 100.0
     start = calls.rate
-    for _ in range(20):
+    for _ in range(40):
         at += 1 / calls.rate
         calls.ended(at, api.Status.OK, at - 0.006)
     quick = calls.rate
