Make the step up of counter calls a share of their rate, as the cuts are

At 3 calls a second a step of 0.15 for each answer is 5% of the rate; a sign cuts 10%: the two balance at one call in three lost (quota.py Calls.ended, STEP). Ruled out: crowds after silence (the losses are spread). Now the step is 1% at most.

--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -8,7 +8,10 @@
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
 # Calls a second that one may make more, a second later, while the counter answers quickly, and at most by
 # each answer: who hears of the line four times a second must not outrun what it hears.
-RISE, STEP = 5.0, 0.15
+RISE, STEP = (
+    5.0,
+    0.01,
+)  # the step is a share of the rate: cuts are, and at small rates a fixed one outran them
 LINE = 0.25  # of the time-out above the usual: answers that take so much longer have waited in a line
 
 
@@ -52,7 +55,7 @@
             # The line shows in the answers before it loses any. Where the rate rose until calls timed out, a
             # fleet rose as fast as it is large; at a slower rise busy gateways wanted calls that were there.
             if not slow:
-                self.rate = min(CALLS, self.rate + min(STEP, RISE / self.rate))
+                self.rate = min(CALLS, self.rate + min(STEP * self.rate, RISE / self.rate))
             elif fresh:
                 self.rate = max(self.least, 0.95 * self.rate)
         elif status is not Status.SPOILT and fresh:
