Give the bound on work out room for chance while the load is low

At fault: decide.py _pick: four requests for each server over all gateways are six at one of forty, and a pile of nine is usual by chance there. One gateway evens that out, forty do not.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -454,7 +454,8 @@
         slack = max(self._rng.random(), 3.0 - 2.5 * self._reading / REFERENCE) * (least < 3)
         fleet = max(total, self._mean * least) + self._mean * slack
         # Rates are a mean of seconds and lag; where answers are quick a burst may have twice the work out.
-        fleet *= 1 + max(0.0, 1 - self._reading / (PLAIN_ROOM * REFERENCE)) * (self._sum is not None)
+        calm = max(0.0, 1 - self._reading / (PLAIN_ROOM * REFERENCE)) * (self._sum is not None)
+        fleet += calm * (fleet + 4 * (fleet * self._mean) ** 0.5)
         # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
         quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
         quiet = quiet if len(quiet) <= len(up) / 2 else []
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,6 +6,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.quota import Calls
+from tests import world as w
 
 FLEET = 40
 
@@ -56,3 +57,22 @@
         at += 1 / calls.rate
         calls.ended(at, api.Status.TIMEOUT if n % 5 == 0 else api.Status.OK, at - 0.006)
     assert calls.rate < 0.5 * start
+
+
+def test_a_thin_gateway_lets_a_chance_pile_in_while_the_load_is_low() -> None:
+    """Forty bounds do not even out what one would: work out that is usual for one is chance at another."""
+    world = w.World(w.settings(gateways=FLEET, plans=(api.Plan("free"),)))
+    world.feed(w.servers(*(f"s{n}" for n in range(60))))
+    for id in range(80):
+        world.advance(world.now + 0.125)
+        world.feed(w.request(id))
+        world.serve(elapsed=0.15)
+    before = len(world.sends)
+    for id in range(1000, 1012):  # in less than a second, and nothing is answered meanwhile
+        world.advance(world.now + 0.08)
+        world.feed(w.request(id))
+    assert len(world.sends) - before >= 11
+    for id in range(2000, 2040):  # it is a bound all the same
+        world.advance(world.now + 0.002)
+        world.feed(w.request(id))
+    assert len(world.sends) - before <= 15
