Keep the last list when discovery tells an empty one, and log a row of odd lines once

A discovery that has lost its state tells a whole list without servers; taken as told it left a limiter with none and every request refused. A change that names nothing is still read.

--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -69,7 +69,7 @@
     ) -> None:  # fmt: skip
         self._callers, self._rng = callers, rng or Random()
         self._host, self._port, self._since, self._tell = host, port, since, tell
-        self._buffer, self._failed = b"", 0  # failures in a row
+        self._buffer, self._failed, self._odd = b"", 0, False  # failures in a row; a row of unreadable lines
         self._seen, self._told_at = Counter[str](), 0.0
 
     async def follow(self) -> None:
@@ -139,10 +139,15 @@
             return
         try:
             listing = listing_from(json.loads(line))
+            if listing.servers.complete and not listing.servers.entries:
+                raise ValueError("an empty list: the last one is kept")  # a discovery that has lost its state
         except ValueError as error:
-            log.warning("dropped an unreadable line of discovery: %s", error)
+            if not self._odd:  # once for a row
+                log.warning("dropped a line of discovery: %s", error)
+            self._odd = True
+            self._note("dropped")
             return
-        self._since, self._failed = listing.version, 0
+        self._since, self._failed, self._odd = listing.version, 0, False
         self._note("told")
         self._tell(listing)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -112,6 +112,38 @@
     run(main())
 
 
+def test_an_empty_list_leaves_the_last_and_a_row_of_odd_lines_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def main() -> None:
+        empty = b'{"seq":58,"whole":true,"hosts":[]}\n'
+        nothing_new = b'{"seq":59,"whole":false,"hosts":[]}\n'
+        heard = await follow(
+            Agent([HEAD, chunk(empty * 30 + b"not json\n" * 30 + nothing_new + message(60))]), 2
+        )
+        assert [(listing.version, listing.servers.complete) for listing in heard] == [
+            (59, False),
+            (60, False),
+        ]
+
+    run(main())
+    assert len([r for r in caplog.records if "dropped a line" in r.getMessage()]) == 1
+
+
+def test_a_row_of_calls_in_vain_is_logged_once(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "LEAST_SPREAD", 0.001)
+
+    async def main() -> None:
+        busy = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+        heard = await follow(Agent(*[[busy]] * 12, [HEAD, chunk(message(58))]), 1, 13)
+        assert heard[0].version == 58
+
+    run(main())
+    assert len([r for r in caplog.records if "watch on discovery ended" in r.getMessage()]) == 1
+
+
 def test_a_refused_version_is_not_asked_for_again() -> None:
     async def main() -> None:
         agent = Agent([b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"], [HEAD, chunk(message(1))])
