--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -8,10 +8,8 @@
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
 # Calls a second that one may make more, a second later, while the counter answers quickly, and at most by
 # each answer: who hears of the line four times a second must not outrun what it hears.
-RISE, STEP = (
-    5.0,
-    0.01,
-)  # the step is a share of the rate: cuts are, and at small rates a fixed one outran them
+RISE = 5.0
+STEP = 0.01  # of the rate, as cuts are a share of it: at small rates a fixed step outran them
 LINE = 0.25  # of the time-out above the usual: answers that take so much longer have waited in a line
 
 
