Let dials to a counter that is down grow rarer, with jitter

Seen in the code: net/counter.py dialled a counter that refuses every 0.1 s for as long as it was down, 400 dials a second for forty limiters that lose it together. Back-off from 0.1 to 0.8 s, half of it drawn.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -198,7 +198,8 @@
     timing, figures = config.timing, Figures(c.name for c in config.settings.classes)
     upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, servers, figures)
     timeout = config.settings.counter_timeout
-    counter = CounterClient(*config.counter, timeout) if config.counter and timeout else None
+    rng = Random(config.seed)
+    counter = CounterClient(*config.counter, timeout, rng) if config.counter and timeout else None
     try:
         gateway = Gateway(config.settings, config.seed, clock())
     except ValueError as error:
@@ -224,7 +225,7 @@
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     since = config.known.version if config.known else None
-    follower = Follower(node.listed, timing.callers, Random(config.seed))
+    follower = Follower(node.listed, timing.callers, rng)
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -8,6 +8,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import cast
 
 from cypresspulley.interface import Status
@@ -20,6 +21,9 @@
 DEAD = 0.3  # seconds that the oldest unanswered line may wait until the connection is given up: ten time-outs
 DIAL_TIMEOUT = 0.25
 REDIAL = 0.05  # seconds between two dials after breaks, so that a peer that only closes is no busy loop
+# Seconds until the next dial after one in vain, which double up to the most, half of them drawn: all limiters
+# lose the counter together, and ten dials a second of each of forty would meet it when it returns.
+FIRST_WAIT, MOST_WAIT = 0.1, 0.8
 MAX_LINE = 64
 TOTAL = re.compile(rb"ok ([+-]?[0-9]{1,20}(?:\.[0-9]{0,20})?(?:[eE][+-]?[0-9]{1,2})?)")
 BEGUN = re.compile(rb"ok [-+.0-9eE]*\r?")
@@ -126,11 +130,17 @@
     return words or BEGUN.fullmatch(text) is not None
 
 
+def redial_wait(vain: int, draw: float) -> float:
+    """Exponential back-off with jitter after so many dials in vain."""
+    return (0.5 + 0.5 * draw) * min(MOST_WAIT, FIRST_WAIT * 2.0 ** min(vain - 1, 16))
+
+
 class CounterClient:
     """Keeps a connection to the counter, and moves to another one without a gap."""
 
-    def __init__(self, host: str, port: int, timeout: float) -> None:
-        self._address, self._timeout = (host, port), timeout
+    def __init__(self, host: str, port: int, timeout: float, rng: Random | None = None) -> None:
+        self._address, self._timeout, self._rng = (host, port), timeout, rng or Random()
+        self._vain, self._dial_from = 0, 0.0  # dials in vain, one behind the other; when the next may be
         self._loop = asyncio.get_running_loop()
         self._link: _Link | None = None
         # Connections go blind one by one while the counter serves: the next one is at hand when that shows.
@@ -154,6 +164,7 @@
         if (host, port) == self._address:
             return
         self._address = (host, port)
+        self._vain, self._dial_from = 0, 0.0
         if self._dial is not None:
             self._dial.cancel()
             self._dial = None
@@ -283,6 +294,8 @@
         )
         if self._check_at is None or self._check_at.cancelled() or self._dial is not None or settled:
             return
+        if self._loop.time() < self._dial_from:
+            return
         self._dialed = self._loop.time()
         self._dial = self._loop.create_task(self._connect(self._address))
 
@@ -294,11 +307,12 @@
         except (OSError, TimeoutError) as error:
             if not self._failing:  # once for a row of failures
                 log.warning("no connection to the counter: %r", error)
-            self._failing, self._dial = True, None
+            self._failing, self._dial, self._vain = True, None, self._vain + 1
+            self._dial_from = self._loop.time() + redial_wait(self._vain, self._rng.random())
             return link.abort()
         except asyncio.CancelledError:
             return link.abort()  # whoever cancelled it has forgotten it
-        self._dial, self._failing, link.used = None, False, self._loop.time()
+        self._dial, self._failing, self._vain, link.used = None, False, 0, self._loop.time()
         old = self._link
         if old is not None and old.address == address:
             self._spare = link
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -5,12 +5,13 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from random import Random
 
 import pytest
 
 from cypresspulley.interface import Status
 from cypresspulley.net import counter
-from cypresspulley.net.counter import CounterClient
+from cypresspulley.net.counter import CounterClient, redial_wait
 from tests.loopback import listening, run
 
 
@@ -276,3 +277,19 @@
             assert link.usable is not given_up
 
     run(main())
+
+
+def test_dials_in_vain_are_spread_and_grow_rarer() -> None:
+    assert [redial_wait(n, 1.0) for n in (1, 2, 3, 4, 5, 5000)] == [0.1, 0.2, 0.4, 0.8, 0.8, 0.8]
+    waits = sorted(redial_wait(4, Random(seed).random()) for seed in range(40))
+    assert max(sum(at <= wait < at + 0.1 for wait in waits) for at in (0.4, 0.5, 0.6, 0.7)) < 20
+
+    async def main() -> None:
+        client = CounterClient("127.0.0.1", 1, 0.05, Random(1))  # nobody listens there
+        client.start()
+        while client._vain < 4:
+            await asyncio.sleep(0.01)
+        assert client._dial_from - client._dialed >= 0.4
+        client.close()
+
+    run(main())
