End a drain before SIGKILL, with the accept queue, late requests and long answers settled

Looked at and sound: SIGTERM before ready and during SIGHUP (handlers run one behind the other on the loop), while dialling and in an upload (open requests hold the drain and are answered at its end).

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -35,10 +35,11 @@
 SPARE_SOCKETS = 48  # descriptors kept for everything but clients and servers, and for those being closed
 SPARE_OF_TWO = 24  # for each process, while two of them share the descriptors
 ACCEPT_FOR = 0.5  # seconds after SIGTERM for which clients still come
-# And, after those, for what was taken. SIGKILL may come 3.7 s after SIGTERM, and what it finds is lost.
-ANSWER_WITHIN = 2.8
-USUAL_DEADLINE = 3.0  # where the longest deadline is longer, SIGKILL comes so much later
-FLUSH_WITHIN = 0.2  # for the answers to what even then is open
+# SIGKILL may come this long after SIGTERM, on top of the longest deadline or of 3 s where that is longer.
+# What it finds unanswered is lost unless it came early: all is answered, and all connections end, before.
+GRACE, LONGEST = 0.7, 3.0
+FLUSH_WITHIN = 0.15  # for the answers to what even then is open
+SPARE = 0.2  # and kept between them and SIGKILL: the signal may have been noticed late
 LOGS_A_SECOND = 20
 
 
@@ -139,6 +140,12 @@
     return each, each
 
 
+def answer_time(settings: api.Settings) -> float:
+    """Seconds for what was taken, once clients no longer come."""
+    longest = max((c.deadline for c in settings.classes), default=0.0)
+    return min(longest or LONGEST, LONGEST) + GRACE - SPARE - FLUSH_WITHIN - ACCEPT_FOR
+
+
 class Reload:
     """SIGHUP: the file is read again, and taken whole or not at all."""
 
@@ -244,12 +251,11 @@
     log.info("stopping")
     frontend.drain()
     node.leave()
-    longest = max((c.deadline for c in node.settings.classes), default=0.0)
-    answer_within = ANSWER_WITHIN + max(0.0, longest - USUAL_DEADLINE)
+    answer_within = answer_time(node.settings)
     if shared.processes > 1:
         # The other process takes what comes. Clients that hold connections here leave with their next answer;
         # closed sooner, one would cross a request on its way.
-        frontend.stop()
+        await frontend.stop()
         await frontend.emptied(ACCEPT_FOR + answer_within)
     else:
         await asyncio.sleep(ACCEPT_FOR)  # clients do not know yet: what they still open is taken and answered
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -6,6 +6,7 @@
 import contextlib
 import fcntl
 import logging
+import os
 import re
 import socket
 import struct
@@ -571,13 +572,6 @@
         fd = self._transport.get_extra_info("socket").fileno()
         return fd >= 0 and bool(struct.unpack("i", fcntl.ioctl(fd, termios.FIONREAD, b"\0" * 4))[0])
 
-    def close_if_idle(self) -> bool:
-        """Close between two requests, which a client takes as the end of a keep-alive."""
-        if self.idle and self._transport is not None and not self._unread:
-            self._close()
-            return True
-        return False
-
     def check(self, now: float) -> None:
         """Close what is silent, and answer what comes too slowly: both hold a descriptor and memory."""
         age = now - self.since
@@ -591,7 +585,7 @@
                 log.warning("a client took nothing of its long answer")
                 self.abort()
         elif not self._reading:
-            if age > IDLE and not self._unread:
+            if (age > IDLE or self.frontend.ending) and not self._unread:
                 self._close()
         elif not self._head_read:
             if age > HEAD:
@@ -625,6 +619,7 @@
         self.handler, self.reader = handler, RequestReader(settings, self.clock)
         self.figures = figures or Figures()
         self.draining = False
+        self.ending = False  # no idle connection is kept any more
         self.open_ids = set[bytes]()
         self._max = max_connections
         self._crowd = CROWDED * max_connections
@@ -632,6 +627,7 @@
         self._sweep_at: asyncio.TimerHandle | None = None
         self._clients = dict[_Client, None]()  # in the order of their coming
         self._server: asyncio.Server | None = None
+        self._handed = False
         self._empty = asyncio.Event()
 
     async def listen(
@@ -639,6 +635,7 @@
     ) -> tuple[str, int]:
         """Take connections at an address, which another process may have too, or from a listening socket."""
         loop = asyncio.get_running_loop()
+        self._handed = inherited is not None
         if inherited is None:
             self._server = await loop.create_server(
                 lambda: _Client(self), host, port, backlog=BACKLOG, reuse_port=beside or None
@@ -646,7 +643,7 @@
         else:
             inherited.setblocking(False)
             self._server = await loop.create_server(lambda: _Client(self), sock=inherited, backlog=BACKLOG)
-        self._sweep_at = loop.call_later(SWEEP, self._sweep)
+        self._sweep()
         address = self._server.sockets[0].getsockname()
         return address[0], address[1]
 
@@ -660,6 +657,8 @@
         self._clients[client] = None
 
     def _sweep(self) -> None:
+        if self._sweep_at is not None:
+            self._sweep_at.cancel()
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         now = self.clock()
         for client in list(self._clients):
@@ -684,11 +683,21 @@
         that closing behind every answer would only make them connect twice."""
         self._max = max_connections
 
-    def stop(self) -> None:
-        """Take no more connections; the socket stays with whoever else holds it."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+    async def stop(self) -> None:
+        """Take no more connections; the socket stays with whoever else holds it. Where nobody does, those in
+        the accept queue are up already for their clients, and would be reset with what they have sent."""
+        server, self._server = self._server, None
+        if server is None:
+            return
+        if self._handed:
+            return server.close()
+        with socket.socket(fileno=os.dup(server.sockets[0].fileno())) as queue:
+            queue.setblocking(False)
+            server.close()
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    taken, _ = queue.accept()
+                    await asyncio.get_running_loop().connect_accepted_socket(lambda: _Client(self), taken)
 
     async def emptied(self, grace: float) -> None:
         """Wait for all connections to end by their answers, or idle as on any day."""
@@ -698,10 +707,12 @@
                 await asyncio.wait_for(self._empty.wait(), grace)
 
     async def close(self, grace: float) -> None:
-        """Stop listening, close what is idle, and wait for the rest to be answered and closed."""
-        self.stop()
+        """Stop listening, close what is idle, and wait for the rest to be answered and closed. The sweep
+        goes on: a connection may become idle only now, and a slow sender is still owed its error."""
+        await self.stop()
+        await asyncio.sleep(0)  # what has just been accepted is known here then
+        self.ending = True
+        self._sweep()
+        await self.emptied(grace)
         if self._sweep_at is not None:
             self._sweep_at.cancel()
-        for client in list(self._clients):
-            client.close_if_idle()
-        await self.emptied(grace)
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -30,6 +30,7 @@
 MARGIN, MARGIN_SHARE = 0.02, 0.1  # seconds kept for the way back of an answer; their share of a short time
 SILENT_SHARE = 0.5  # of the margin that the decisions have for their answer at the deadline
 PROBE_TIMEOUT = 0.25
+AGAIN = 0.1  # seconds until a client that was turned away at the end may come again: others take it
 
 
 def unix_clock() -> Callable[[], float]:
@@ -75,7 +76,7 @@
         self._loop = asyncio.get_running_loop()
         self._open = dict[int, _Open]()
         self._events = deque[api.Event]()
-        self._busy = False
+        self._busy = self._over = False
         self._actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
             api.Count: self._count, api.Probe: self._probe, api.SetTimer: self._set_timer, api.Log: self._log,
@@ -110,6 +111,8 @@
     def arrived(self, request: ClientRequest) -> None:
         event = request.event
         assert event is not None
+        if self._over:
+            return request.respond(503, retry_after=min(AGAIN, self.settings.max_retry_after))
         margin = self._margin(event.ttl)
         if event.uploading:  # its time begins with its last byte
             self._open[event.id] = _Open(request, math.inf, self.settings.max_attempts)
@@ -170,9 +173,11 @@
         self.feed(api.Leaving())
 
     def abandon_all(self) -> None:
-        """Fail what is still open: the process is about to end, and a request must not end with it."""
-        for id in list(self._open):
-            self._abandon(id, 504)
+        """Answer what is still open, and what comes from now on: the process is about to end, and a request
+        must not end with it. What nobody has had whole can be tried elsewhere without harm."""
+        self._over = True
+        for id, opened in list(self._open.items()):
+            self._abandon(id, 504 if any(attempt.written for attempt in opened.attempts) else 503)
 
     def _step(self, event: api.Event) -> None:
         try:
@@ -207,7 +212,8 @@
         """Answer for decisions that are silent or broken."""
         if (opened := self._close(id)) is not None:
             log.warning("a request was answered %d in place of the decisions", status)
-            opened.request.respond(status)
+            again = min(AGAIN, self.settings.max_retry_after) if status == 503 else None
+            opened.request.respond(status, retry_after=again)
             self.feed(api.Departed(id))
 
     # Actions.
