Answer half-closed clients, notice gone ones, and let no closing cross a request

Each has a test on loopback sockets with the crossing forced, seen to fail without its mend: - A half-closed client was taken for a gone one and its request dropped (_Client had no eof_received). What tells them apart is the next write: an interim answer, and a reset if nobody is there. The end now goes out in the same step (close_idle). Behind an answer the close lingers always. - At the limit an idle connection made room by a reset without a look for a request on its way (connected). - A dial that came up and broke before its task ran met an assert in _Connection.send; its request waited for its whole time. It is told as dropped: it never ran (Upstream._dial). test_a_departed_clients_connection_gets_nothing_more took a half-close for the departure, which was the fault; it now leaves by closing and checks the same, and that nothing is left open.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import re
+import select
 import socket
 import struct
 import termios
@@ -32,6 +33,7 @@
 HEAD = 2.5  # seconds that a head may take: a slow client's takes 2, a bad one must be answered by 3
 FLOW, LONGEST = 8192, 5.0  # bytes a second that count as flowing; and even then no longer than this if short
 STALLED = 15.0  # seconds in which a client takes nothing of a long answer, until it is given up
+GONE = 0.1  # seconds in which a client that has gone shows it: a way there and back, and a slow loop
 LINGER = 0.5  # seconds that a refused sender's input is still drained, or it would not see why
 LINGER_BYTES = 128 * 1024  # and how much of it: draining 60 MB would be the sender's to command
 LINGER_LONG = 5.0  # but the long body of a proper request that was refused early is read off
@@ -73,12 +75,12 @@
     """One try of a client, and the place in its connection where the answer goes."""
 
     __slots__ = (
-        "_chunked", "_client", "_old", "answer", "body", "event", "head", "id", "keep_alive", "moved", "pipe",
-        "start", "upload",
+        "_chunked", "_client", "answer", "body", "event", "head", "id", "keep_alive", "moved", "old",
+        "pipe", "start", "upload",
     )  # fmt: skip
 
     def __init__(self, client: _Client, keep_alive: bool, old: bool = False) -> None:
-        self._client, self.keep_alive, self._old = client, keep_alive, old
+        self._client, self.keep_alive, self.old = client, keep_alive, old
         self.event: api.Request | None = None
         self.upload: Pipe | None = None  # its body, where that is long
         self.pipe: Pipe | None = None  # its answer, where that is long
@@ -111,7 +113,7 @@
         client = self._client
         client.frontend.open_ids.discard(self.id)
         client.frontend.figures.streams += 1
-        self.pipe, self._chunked = pipe, pipe.length is None and not self._old
+        self.pipe, self._chunked = pipe, pipe.length is None and not self.old
         if pipe.length is not None:
             framing = b"Content-Length: %d\r\n" % pipe.length
         elif self._chunked:
@@ -163,6 +165,8 @@
 
     def departed(self, request: ClientRequest) -> None: ...
 
+    def stranded(self, request: ClientRequest) -> None: ...
+
 
 class RequestReader:
     """Turns a request's headers and target into the event that the decisions want."""
@@ -246,6 +250,7 @@
         self._upload: Pipe | None = None  # the long body that is being read
         self._held = False  # its server takes no more for now
         self._asked = False  # whether a request has come whole
+        self._ended = False  # the client has closed its sending side
         self._body_since, self._body_at = 0.0, 0
 
     @property
@@ -315,6 +320,38 @@
             if self._size > MAX_HEAD:
                 self._reject(400)
 
+    def eof_received(self) -> bool:
+        """The client sends no more. It has gone, or it waits for its answers half-closed: a look alone
+        cannot tell, but who has gone meets the next bytes with a reset. An interim answer harms nobody."""
+        if self._transport is None or not self._waiting or self._upload is not None:
+            return False  # nothing is owed
+        self._ended = True
+        self._doubt()
+        return True
+
+    def _doubt(self) -> None:
+        first = self._waiting[0]
+        if first.pipe is None and not first.old and self._transport is not None:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        asyncio.get_running_loop().call_later(GONE, self._doubted)
+
+    def _doubted(self) -> None:
+        """Nothing more is sent on for a client that may have gone; what is out may still answer it."""
+        if self._transport is None or self._transport.is_closing() or not self._waiting:
+            return
+        if self._broken:
+            return self.abort()
+        for request in list(self._waiting):
+            if request.answer is None and request.pipe is None:
+                self.frontend.handler.stranded(request)
+
+    @property
+    def _broken(self) -> bool:
+        """Whether a reset has come, also while nothing is read."""
+        assert self._transport is not None
+        peer = self._transport.get_extra_info("socket")
+        return bool(peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     # The parser's callbacks.
 
     def on_message_begin(self) -> None:
@@ -472,7 +509,8 @@
             assert request.answer is not None
             start, rest = request.answer
             # Of what is pipelined only the last answer closes: what stands behind it has been taken too.
-            close = not request.keep_alive or (self.frontend.closing and not self._waiting)
+            close = not self._waiting and (self.frontend.closing or self._ended)
+            close = close or not request.keep_alive
             self._transport.write(start + (b"Connection: close\r\n" if close else b"") + rest)
             if close:
                 self._close()
@@ -496,7 +534,7 @@
             return
         self._waiting.popleft()
         self.since = self.frontend.clock()
-        if not request.keep_alive and not self._waiting:
+        if (not request.keep_alive or self._ended) and not self._waiting:
             self._close()
         self.flush()
 
@@ -550,20 +588,35 @@
         last.respond(status)
 
     def _close(self) -> None:
-        """Close behind an answer; a sender still busy is drained first, or a reset would eat the answer."""
+        """Close behind an answer: a half-close first, and what still comes is read off for a while (lingering
+        close), or a reset would eat the answer."""
         transport, self._transport = self._transport, None
         if transport is None:
             return
-        self._lingering = transport
+        self._lingering, self._rejected = transport, True
         self._depart()
-        if self._rejected and transport.can_write_eof() and not transport.is_closing():
-            if self._paused:
-                transport.resume_reading()
-            transport.write_eof()
-            asyncio.get_running_loop().call_later(self._linger[0], transport.close)
-        else:
-            self._rejected = True
-            transport.close()
+        if transport.is_closing():
+            return
+        if self._paused:
+            transport.resume_reading()
+        transport.write_eof()
+        asyncio.get_running_loop().call_later(self._linger[0], transport.close)
+
+    def close_idle(self) -> bool:
+        """Close between two requests, unless one has come that the loop has not read: it would be lost. The
+        end goes out in the same step as the look; what comes after it has crossed it, and is sent anew."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._unread:
+            return False
+        if transport.get_write_buffer_size() == 0:
+            fd = transport.get_extra_info("socket").fileno()
+            end = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=fd)
+            with contextlib.suppress(OSError):
+                end.shutdown(socket.SHUT_WR)
+            end.detach()
+        self._transport, self._lingering, self._rejected = None, transport, True
+        transport.close()
+        return True
 
     @property
     def _unread(self) -> bool:
@@ -581,18 +634,31 @@
             self._check_upload(now)
         elif self._waiting:
             first = self._waiting[0]
-            if first.pipe is not None and self._clogged and now - first.moved > STALLED:
+            if self._paused and not self._ended:
+                self._look()
+            elif first.pipe is not None and self._clogged and now - first.moved > STALLED:
                 log.warning("a client took nothing of its long answer")
                 self.abort()
         elif not self._reading:
-            if (age > IDLE or self.frontend.ending) and not self._unread:
-                self._close()
+            if age > IDLE or self.frontend.ending:
+                self.close_idle()
         elif not self._head_read:
             if age > HEAD:
                 self._reject(408)
         elif (age := now - self._body_since) > SLOW and (age > LONGEST or self._size < FLOW * age):
             self._reject(408)
 
+    def _look(self) -> None:
+        """While its input is not read, nothing else tells that a client has gone."""
+        assert self._transport is not None
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        for _, what in poll.poll(0):
+            if what & (select.POLLERR | select.POLLHUP):
+                self.abort()
+            else:
+                self._doubt()
+
     def _check_upload(self, now: float) -> None:
         """A long body may take its time as long as it flows; held up by its server it need not."""
         age = now - self._body_since
@@ -602,6 +668,15 @@
         self.frontend.handler.departed(request)
         request.respond(408)
 
+    def evict(self) -> bool:
+        """Make room, unless a request, or the rest of one, has come that the loop has not read."""
+        if self._transport is not None and not self._reading:
+            return self.close_idle()
+        if self._transport is not None and self._unread:
+            return False
+        self.abort()
+        return True
+
     def abort(self) -> None:
         self._depart()
         self._lingering, self._transport = self._transport or self._lingering, None
@@ -651,9 +726,9 @@
         """Count a connection; at the limit another one makes room, and with all busy the new one goes."""
         if len(self._clients) >= self._max:
             ranked = [(rank, c) for c in self._clients if (rank := c.rank) is not None]
-            (min(ranked, key=lambda each: each[0])[1] if ranked else client).abort()
-            if not ranked:
+            if not any(other.evict() for _, other in sorted(ranked, key=lambda each: each[0])):
                 log.warning("out of client connections")
+                client.abort()
         self._clients[client] = None
 
     def _sweep(self) -> None:
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -146,6 +146,14 @@
         if request.event is not None and self._close(request.event.id) is not None:
             self.feed(api.Departed(request.event.id))
 
+    def stranded(self, request: ClientRequest) -> None:
+        """The client may have gone: nothing more is sent on, and what has not gone out yet does not."""
+        if request.event is None or (opened := self._open.get(request.event.id)) is None:
+            return
+        opened.most = len(opened.attempts)
+        for attempt in list(opened.attempts):
+            self._upstream.withhold(attempt)
+
     def called(self, verb: api.Verb, server: str, done: Callable[[bool, str], None]) -> None:
         """An operator's call; ``done`` is told yes or no, and the figures where they were asked for."""
         self._last_call += 1
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -535,6 +535,11 @@
             wait = max(0.0, at - self._clock())
             exchange.timer = asyncio.get_running_loop().call_later(wait, self._expired, exchange)
 
+    def withhold(self, exchange: Exchange) -> None:
+        """Do not send what is not on a connection yet."""
+        if exchange.connection is None:
+            self._give_up(exchange, Status.NOT_SENT)
+
     def cancel(self, exchange: Exchange) -> None:
         """Stop waiting; the connection goes with it, so that no late answer meets another request."""
         self._give_up(exchange, Status.CANCELLED)
@@ -618,6 +623,8 @@
             return self.end(exchange, Status.DROPPED if reset else Status.UNREACHABLE)
         if exchange.ended:
             self.release(connection, True)  # nothing was written on it
+        elif connection.transport is None:
+            self.end(exchange, Status.DROPPED)  # it came up and broke before this task was told
         else:
             self._write(connection, exchange)
 
