Begin a silent watch anew in time, by whole lines, and ask again for what a lost line held

News counts as told 6 s after a watch fell silent, 4 s after SIGHUP, and at once where discovery pushes and comes back. The watch took 5 s of no byte at all, so that half a head or a line without an end kept it for ever; then a call spread by SPREAD x limiters, 15 s at 200 and twice that after the break of a live watch (pause, follow). Now 3 s without a whole line, the first call within 2 s whatever the fleet's size, and growth only for calls in vain. Where the agent pushes, its answer and the wait between two calls are each 0.3 of what a drain leaves (1 s at kelaniya-campus, where 5 s of waiting for a silent agent and 1 s between calls stood before). A line that could not be read was passed over, and the next one raised the version: its change never came (_line). The watch is now begun anew from the version before it, and every 10 s as long as it stays unreadable; readable lines in between are told as before. Four tests with trickling and odd agents fail without it. Sound as they were: a move follows the old address until the new one has spoken, an empty list leaves the last, a row is logged once.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -232,7 +232,7 @@
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     since = config.known.version if config.known else None
-    follower = Follower(node.listed, timing.callers, rng)
+    follower = Follower(node.listed, timing.callers, rng, timing.answer, timing.call_again)
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,11 +19,20 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
+# An empty line comes every 2 s: past this the watch is dead, whatever the socket says. Whole lines count:
+# what trickles tells nothing. News counts as told 6 s after a silence began, and the call anew is part of that.
+SILENCE = 3.0
 # All limiters lose discovery in the same moment, and it serves their calls in turn. Its line was ever full of
 # calls that had waited too long when their turn came, and it answered none. So calls are spread over a time
 # that grows with the number of limiters, and twice with each failure. Where it pushes, calls cost nothing.
 SPREAD, LEAST_SPREAD, MOST_GROWTH = 0.075, 0.25, 4  # seconds for each caller; least of all; times the first
+# However many call, news counts as told 6 s after a silence, and 4 s after a move. So the first call of a row
+# is spread over this at most, and each one in vain triples it.
+FIRST_SPREAD, MOST_SPREAD = 2.0, 12.0
+SHORT_LIVED = 5.0  # seconds: a watch that ends sooner counts as a call in vain
+# A line that cannot be read may have held a change that no later line repeats: the watch is begun anew from
+# the version before it, at once, and then so often, for what stands there may stay unreadable.
+ASK_AGAIN = 10.0
 REPORT = 10.0  # seconds between two log lines on the calls
 MAX_LINE = 4 * 1024 * 1024
 HEALTH = {"ready": api.Health.UP, "draining": api.Health.DRAINING, "gone": api.Health.GONE}
@@ -55,9 +65,11 @@
         raise ValueError(f"not a list of servers: {error!r:.80}") from None
 
 
-def pause(callers: int, failed: int, draw: float) -> float:
+def pause(callers: int, failed: int, draw: float, most: float = MOST_SPREAD) -> float:
     """Seconds until the next call after so many in vain: exponential back-off with full jitter."""
-    return draw * max(LEAST_SPREAD, SPREAD * callers) * min(MOST_GROWTH, 2.0 ** min(failed, 16))
+    growth = 2.0 ** min(failed, 16)
+    spread = max(LEAST_SPREAD, SPREAD * callers) * min(MOST_GROWTH, growth)
+    return draw * min(spread, FIRST_SPREAD * 3.0 ** min(failed, 16), most)
 
 
 class Discovery:
@@ -65,17 +77,22 @@
 
     def __init__(
         self, host: str, port: int, since: int | None, tell: Callable[[Listing], None],
-        callers: int = 1, rng: Random | None = None,
+        callers: int = 1, rng: Random | None = None, answer: float = SILENCE, most: float = MOST_SPREAD,
     ) -> None:  # fmt: skip
-        self._callers, self._rng = callers, rng or Random()
+        self._callers, self._rng, self._answer, self._most = callers, rng or Random(), answer, most
         self._host, self._port, self._since, self._tell = host, port, since, tell
         self._buffer, self._failed, self._odd = b"", 0, False  # failures in a row; a row of unreadable lines
-        self._seen, self._told_at = Counter[str](), 0.0
+        self._gap, self._gap_at = (
+            False,
+            -math.inf,
+        )  # a line is lost; when that last began the watch anew
+        self._until = self._begun = 0.0  # when the watch is dead unless a line comes; when its call was made
+        self._seen, self._told_at, self._spoke = Counter[str](), 0.0, False
 
     async def follow(self) -> None:
         while True:
             # The first call too: a release starts many limiters in the same moment.
-            await asyncio.sleep(pause(self._callers, self._failed, self._rng.random()))
+            await asyncio.sleep(pause(self._callers, self._failed, self._rng.random(), self._most))
             try:
                 await self._watch()
             except (OSError, TimeoutError, httptools.HttpParserError) as error:
@@ -84,7 +101,8 @@
                     log.warning("the watch on discovery ended: %r", cause)
             except Exception:
                 log.exception("the watch on discovery failed")
-            self._failed += 1
+            lived = asyncio.get_running_loop().time() - self._begun > SHORT_LIVED and self._spoke
+            self._failed = 0 if lived else self._failed + 1
             self._note("failed")
 
     def _note(self, what: str) -> None:
@@ -97,7 +115,10 @@
             self._told_at = now
 
     async def _watch(self) -> None:
-        async with asyncio.timeout(SILENCE):
+        loop = asyncio.get_running_loop()
+        self._begun, self._spoke, self._gap = loop.time(), False, False
+        self._until = self._begun + self._answer
+        async with asyncio.timeout_at(self._until):
             reader, writer = await asyncio.open_connection(self._host, self._port)
         try:
             since = "" if self._since is None else f"&since={self._since}"
@@ -106,11 +127,14 @@
             self._buffer = b""
             self._parser = httptools.HttpResponseParser(self)
             while True:
-                async with asyncio.timeout(SILENCE):
+                async with asyncio.timeout_at(self._until):
                     data = await reader.read(65536)
                 if not data:
                     raise ConnectionError("closed by discovery")
                 self._parser.feed_data(data)
+                if self._gap and loop.time() - self._gap_at > ASK_AGAIN:
+                    self._gap_at = loop.time()
+                    raise ConnectionError("a line was lost")
         finally:
             writer.transport.abort()
 
@@ -122,6 +146,7 @@
                 self._since = None  # it may be the version that is not taken
             # Turned away as too busy it would be the busier for the whole list, whose every line is work.
             raise ConnectionError(f"status {code}")
+        self._heard()
 
     def on_body(self, body: bytes) -> None:
         # Chunks end where they like; only line ends part the messages.
@@ -134,7 +159,11 @@
     def on_message_complete(self) -> None:
         raise ConnectionError("the watch was ended")
 
+    def _heard(self) -> None:
+        self._until = asyncio.get_running_loop().time() + SILENCE
+
     def _line(self, line: bytes) -> None:
+        self._heard()
         if not line:
             return
         try:
@@ -144,10 +173,12 @@
         except ValueError as error:
             if not self._odd:  # once for a row
                 log.warning("dropped a line of discovery: %s", error)
-            self._odd = True
+            self._odd = self._gap = True
             self._note("dropped")
             return
-        self._since, self._failed, self._odd = listing.version, 0, False
+        if not self._gap:
+            self._since, self._odd = listing.version, False
+        self._failed, self._spoke = 0, True
         self._note("told")
         self._tell(listing)
 
@@ -155,8 +186,11 @@
 class Follower:
     """Follows discovery at the newest address; the one before is followed until the newest has spoken."""
 
-    def __init__(self, tell: Callable[[Listing], None], callers: int = 1, rng: Random | None = None) -> None:
-        self._tell, self._callers, self._rng = tell, callers, rng or Random()
+    def __init__(
+        self, tell: Callable[[Listing], None], callers: int = 1, rng: Random | None = None,
+        answer: float = SILENCE, most: float = MOST_SPREAD,
+    ) -> None:  # fmt: skip
+        self._tell, self._callers, self._rng, self._waits = tell, callers, rng or Random(), (answer, most)
         self._heard: asyncio.Task[None] | None = None  # the watch that has spoken last
         self._coming: asyncio.Task[None] | None = None
         self._address: tuple[str, int] | None = None
@@ -169,7 +203,13 @@
             self._coming.cancel()  # told to move again before it said anything
         # Without a version another discovery tells the whole list: its numbers need not be the old one's.
         watch = Discovery(
-            host, port, since, lambda listing: self._said(task, listing), self._callers, self._rng
+            host,
+            port,
+            since,
+            lambda listing: self._said(task, listing),
+            self._callers,
+            self._rng,
+            *self._waits,
         )
         task = self._coming = asyncio.get_running_loop().create_task(watch.follow())
 
--- a/cypresspulley/settings.py
+++ b/cypresspulley/settings.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
 from cypresspulley import interface as api
 
 EFFECT = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
 SCOPE = {scope.value: scope for scope in api.Scope}
+AGENT_SHARE = 0.3  # of the time that a drain leaves
 T = TypeVar("T")
 
 
@@ -24,6 +25,10 @@
     dial_timeout: float
     conn_idle: float
     callers: int = 1  # limiters whose calls to discovery wait for each other: one, where it pushes
+    # Seconds in which discovery answers a call, and at most between two calls. Where it pushes, its agent
+    # answers at once and at no cost, and what it has counts as told: both are parts of what a drain leaves.
+    answer: float = 5.0
+    call_again: float = 12.0
 
 
 def _word(table: dict[str, T], what: str, word: object) -> T:
@@ -117,6 +122,9 @@
     limits = _section(raw, "limits")
     callers = max(1, int(_number(raw, "n_instances", 1))) if raw.get("discovery") == "ask" else 1
     timing = Timing(_number(limits, "dial_timeout_s", 0.25), _number(limits, "conn_idle_s", 30.0), callers)
+    if raw.get("discovery") != "ask":
+        part = AGENT_SHARE * (_number(_section(raw, "contract"), "stop_sending_within_s") or 1.0)
+        timing = replace(timing, answer=part, call_again=part)
     if timing.dial_timeout <= 0 or timing.conn_idle <= 0:
         raise SettingsError("settings: dial_timeout_s and conn_idle_s must be above 0")
     return timing
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -218,3 +218,68 @@
     raw = {"n_instances": 40, "discovery": "ask"}
     assert timing_from(raw).callers == 40
     assert timing_from(raw | {"discovery": "push"}).callers == timing_from({}).callers == 1
+
+
+def test_the_first_call_of_a_fleet_of_any_size_leaves_time_before_news_counts_as_told() -> None:
+    """Told 6 s after a silence began and 4 s after a move; the answer comes in the rest."""
+    for callers in (1, 40, 200, 1000):
+        assert discovery.SILENCE + discovery.pause(callers, 0, 1.0) < 5.5
+        assert discovery.pause(callers, 0, 1.0) < 2.5
+        assert discovery.pause(callers, 9, 1.0) <= 12.0
+    waits = timing_from({"discovery": "push", "contract": {"stop_sending_within_s": 1.0}})
+    assert waits.answer + waits.call_again < 1.0, "what the agent has counts as told, and a drain leaves 1 s"
+    assert timing_from({"discovery": "ask"}).answer == 5.0
+
+
+@pytest.mark.parametrize("start", [b"HTTP/1.1 200 O", HEAD])
+def test_half_a_head_and_a_line_without_an_end_are_silence(
+    start: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 0.3)
+
+    async def main() -> None:
+        asked, heard = list[str](), asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append((await reader.readuntil(b"\r\n\r\n")).decode().split()[1])
+            if len(asked) > 1:
+                writer.write(HEAD + chunk(message(58)))
+                await reader.read()
+                return
+            writer.write(start)
+            while True:  # it trickles until the limiter ends the connection
+                writer.write(chunk(b"{") if start is HEAD else b"x")
+                await writer.drain()
+                await asyncio.sleep(0.02)
+
+        async with listening(talk) as address:
+            host, port = address.split(":")
+            watch = Discovery(host, int(port), 41, lambda _listing: heard.set())
+            watch._answer = 0.3
+            task = asyncio.create_task(watch.follow())
+            await heard.wait()
+            task.cancel()
+
+    run(main())
+
+
+def test_the_change_in_an_unreadable_line_is_asked_for_again() -> None:
+    async def main() -> None:
+        lost = message(58, "upbeat") + message(59, host="s2")
+        agent = Agent([HEAD, chunk(message(57) + lost)], [HEAD, chunk(message(59, "draining"))], end=False)
+        heard = await follow(agent, 3, 2)
+        assert [listing.version for listing in heard] == [57, 59, 59]
+        assert heard[2].servers.entries[0].health is api.Health.DRAINING
+        assert agent.asked[1] == "/v1/servers?follow=1&since=57"
+
+    run(main())
+
+
+def test_a_line_that_stays_unreadable_is_not_asked_for_in_a_row() -> None:
+    async def main() -> None:
+        odd = message(58, "upbeat")
+        agent = Agent([HEAD, chunk(odd)], [HEAD, chunk(odd), chunk(message(60))], end=False)
+        heard = await follow(agent, 1, 2)
+        assert [listing.version for listing in heard] == [60] and len(agent.asked) == 2
+
+    run(main())
