--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -19,8 +19,8 @@
 
 log = logging.getLogger(__name__)
 
-# An empty line comes every 2 s: past this the watch is dead, whatever the socket says. Whole lines count:
-# what trickles tells nothing. News counts as told 6 s after a silence began, and the call anew is part of that.
+# An empty line comes every 2 s: past this the watch is dead, whatever the socket says. Whole lines count, for
+# what trickles tells nothing. News counts as told 6 s after a silence began, the call anew is part of that.
 SILENCE = 3.0
 # All limiters lose discovery in the same moment, and it serves their calls in turn. Its line was ever full of
 # calls that had waited too long when their turn came, and it answered none. So calls are spread over a time
