Let repeats at thin gateways wait behind first tries for counter calls, and count for all

Each of 200 gateways meets a customer about once a minute there, so its own figures call every customer calm (_quota, calm): 7 in 10 went on unasked, a repeat of what another gateway had just refused as well; and who asked counted for two and a half requests at most, where only one in four can ask (0.26 calls a try).

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -21,6 +21,7 @@
 FRESH, MOST_NOTES = 5.0, 4000  # seconds in which a process takes another's notes; accounts in them
 ENOUGH = 10  # answers that tell how warm a cold server is
 UPLOAD = 3600.0  # seconds: how long a body takes is its sender's and the sockets' matter
+LEAST_ASKED = 0.2  # of requests: who asks counts for those that could not, and for no more than four of them
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.DROPPED, Status.NOT_SENT)
@@ -228,8 +229,9 @@
         many = plan.open_limit > 0 and a.open >= -(-plan.open_limit // a.share)  # past the even share
         # The fleet shares the counter: with few calls left one request in so many asks, and counts for all.
         chance = min(1.0, self._calls.left(now) / 2)
-        calm = a.thin and expected - 0.3 * plan.rate * (now - a.synced) > 0.6 * plan.burst  # not long ago
-        chance *= 0.3 if calm else 1.0
+        # Of hundreds of gateways each meets a customer once a minute, and takes it for a calm one. What comes
+        # again is most likely beyond its quota: first tries have the calls before it.
+        chance *= 0.3 if a.thin and r.repeat else 1.0
         if many or plan.rate <= 0:
             inside = not many
         elif not self._set.has_counter or now < self._calls.silent_until:
@@ -243,10 +245,10 @@
             return a.waiting.append(r.id)  # one call at a time: what comes meanwhile shares the next
         elif r.deadline - now < 3 * self._set.counter_timeout or chance < max(0.05, self._rng.random()):
             # Unasked, what comes again or often to this one gateway is most likely beyond its quota.
-            likely = expected >= r.units and (calm or not (a.thin and (r.repeat or a.floor < r.units)))
+            likely = expected >= r.units and not (a.thin and (r.repeat or a.floor < r.units))
             return self._launch(now, r, likely, counted=0.0 if a.thin else None)
         else:  # near the quota the counter is asked first, with the units where they will likely be granted
-            step = 0.0 if r.repeat and a.thin else r.units / (max(0.4, chance) if a.thin else 1.0)
+            step = 0.0 if r.repeat and a.thin else r.units / (max(LEAST_ASKED, chance) if a.thin else 1.0)
             return self._count(now, a, (r.id,), step)
         self._launch(now, r, inside)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
 from cypresspulley.quota import Calls
 from tests import world as w
 
@@ -98,3 +99,36 @@
         out = {n for n, s in world.gateway._servers.items() if s.out_for > 0}
         assert out <= errs, "a healthy server was put out"
     assert bad < 0.08 * late  # two of ten would get a fifth of the requests
+
+
+def thin_gateway() -> Gateway:
+    """One of hundreds, each of which meets a customer once a minute."""
+    plan = api.Plan("small", rate=2.0, burst=8.0, over_cost=0.5)
+    gateway = Gateway(w.settings(gateways=200, plans=(plan,)), 1, 100.0)
+    gateway.handle(100.0, w.servers("s1", "s2", "s3"))
+    return gateway
+
+
+def test_what_comes_again_at_a_thin_gateway_that_cannot_ask_is_beyond_its_quota() -> None:
+    """Each took a customer that it did not know for a calm one, and let it in at its next try elsewhere."""
+    gateway = thin_gateway()
+    for id in range(40):
+        gateway._calls.room = 0.0
+        asked = api.Request(id, "read", "small", 3.0, f"{id:016x}", 2.0, 200, repeat=bool(id % 2))
+        (first, *_) = gateway.handle(100.0, asked)
+        assert isinstance(first, api.Refuse if id % 2 else api.Send), id
+        if isinstance(first, api.Send):
+            gateway.handle(100.0, w.outcome(id, 0, first.server, api.Status.OK, 0.01))
+
+
+def test_who_asks_counts_for_as_many_as_could_not() -> None:
+    gateway, counts = thin_gateway(), list[api.Count]()
+    for id in range(200):
+        gateway._calls.room = 0.5  # one request in four asks
+        asked = api.Request(id, "read", "small", 3.0, f"{id:016x}", 2.0, 200)
+        for action in gateway.handle(100.0, asked):
+            if isinstance(action, api.Count):
+                counts.append(action)
+            if isinstance(action, api.Send):
+                gateway.handle(100.0, w.outcome(id, 0, action.server, api.Status.OK, 0.01))
+    assert 20 < len(counts) < 80 and {count.amount for count in counts} == {8.0}
