Give up a counter connection after ten of the settings' time-outs, not after 0.3 s

DEAD stood at 0.3 s, which is ten time-outs of 30 ms, as both deployments at hand have: fitted to them. With 200 ms a connection would go after one slow answer and a half, and with 5 ms stay blind for sixty. Now it follows the settings, also after SIGHUP. The test of the line that owes an answer takes 5 and 200 ms as well and fails without it; the one on pings counts its wait in time-outs now. Sound as they were, read and tested before: an answer after its time-out keeps its place, a move serves calls that are out to their end and keeps results in order.

--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -18,7 +18,7 @@
 CHECK = 0.1  # seconds between two looks at the line
 REPORT = 100  # looks between two log lines on how the calls ended
 PING = 2.0  # silent seconds until a ping keeps the connection: an idle one is closed
-DEAD = 0.3  # seconds that the oldest unanswered line may wait until the connection is given up: ten time-outs
+DEAD = 10  # time-outs that the oldest unanswered line may wait until the connection is given up
 DIAL_TIMEOUT = 0.25
 REDIAL = 0.05  # seconds between two dials after breaks, so that a peer that only closes is no busy loop
 # Seconds until the next dial after one in vain, which double up to the most, half of them drawn: all limiters
@@ -272,17 +272,17 @@
             told = ", ".join(f"{what} {number}" for what, number in sorted(self._seen.items()))
             log.info("counter calls: %s", told)
             self._seen.clear()
-        now, link = self._loop.time(), self._link
+        now, link, dead = self._loop.time(), self._link, DEAD * self._timeout
         for left in list(self._left):
-            if left.written and now - left.written[0].sent > DEAD:
+            if left.written and now - left.written[0].sent > dead:
                 left.abort()
-        if link is not None and link.written and now - link.written[0].sent > DEAD:
+        if link is not None and link.written and now - link.written[0].sent > dead:
             log.warning("the counter is silent: connecting anew")
             link.abort()
         elif link is not None and now - link.used > PING:
             self._put(_Call(b"ping\r\n", now))
         if (spare := self._spare) is not None:
-            if spare.written and now - spare.written[0].sent > DEAD:
+            if spare.written and now - spare.written[0].sent > dead:
                 spare.abort()
             elif now - spare.used > PING and not spare.written:
                 spare.write(_Call(b"ping\r\n", now), now)
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -231,7 +231,7 @@
 ) -> None:
     monkeypatch.setattr(counter, "CHECK", 0.01)
     monkeypatch.setattr(counter, "PING", 0.02)
-    monkeypatch.setattr(counter, "DEAD", 0.1)
+    monkeypatch.setattr(counter, "DEAD", 0.01)  # of the time-out below
 
     async def main() -> None:
         async with connected(10.0) as (tally, _, _):
@@ -261,12 +261,15 @@
     assert sum("unreadable counter line" in record.getMessage() for record in caplog.records) == 1
 
 
-@pytest.mark.parametrize(("waited", "given_up"), [(0.1, False), (0.4, True)])
+@pytest.mark.parametrize(
+    ("timeout", "waited", "given_up"),
+    [(0.03, 0.1, False), (0.03, 0.4, True), (0.2, 1.5, False), (0.2, 2.5, True), (0.005, 0.1, True)],
+)
 def test_a_connection_that_owes_an_answer_for_many_time_outs_is_given_up(
-    waited: float, given_up: bool
+    timeout: float, waited: float, given_up: bool
 ) -> None:
     async def main() -> None:
-        async with connected(0.03) as (_, _, client):
+        async with connected(timeout) as (_, _, client):
             client.call(1, 1.0, 10.0, lambda _status, _total: None)
             while (link := client._link) is None or not link.written:
                 await asyncio.sleep(0.001)
