--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -251,6 +251,7 @@
         self._held = False  # its server takes no more for now
         self._asked = False  # whether a request has come whole
         self._ended = False  # the client has closed its sending side
+        self._probed = False  # it has been asked whether it is still there
         self._body_since, self._body_at = 0.0, 0
 
     @property
@@ -330,6 +331,9 @@
         return True
 
     def _doubt(self) -> None:
+        if self._probed:
+            return
+        self._probed = True
         first = self._waiting[0]
         if first.pipe is None and not first.old and self._transport is not None:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -226,6 +226,34 @@
     run(main())
 
 
+def test_a_half_closed_client_whose_input_is_not_read_is_asked_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "SWEEP", 0.01)
+
+    async def main() -> None:
+        script = Script(lambda _event: [])
+        async with Limiter(script, {}) as limiter:
+            looks, look = asyncio.Queue[None](), frontend._Client._look
+
+            def counted(self: frontend._Client) -> None:
+                look(self)
+                looks.put_nowait(None)
+
+            monkeypatch.setattr(frontend._Client, "_look", counted)
+            reader, writer = await limiter.connect()
+            for _ in range(MAX_PIPELINE):
+                writer.write(ask(ttl=60000))
+            events = await script.until(api.Request, MAX_PIPELINE)
+            writer.write_eof()
+            for _ in range(20):
+                await looks.get()
+            script.answer = lambda _event: [api.Fail(event.id) for event in events]
+            limiter.node.feed(api.TimerFired(1))
+            answers = await reader.read()
+            assert answers.count(b"HTTP/1.1 100 ") == 1 and answers.count(b"HTTP/1.1 502 ") == MAX_PIPELINE
+
+    run(main())
+
+
 def test_whoever_has_a_request_on_its_way_does_not_make_room() -> None:
     async def main() -> None:
         async with Limiter(Script(refuse), {}) as limiter:
