Guard invariants at run time, and log why attempts and connections ended

Cause: what must never happen was assumed in many places and counted nowhere; a request's attempts, connections and endpoint incarnations could not be followed in the log. Change: net/invariants.py counts violations, logs the first of a kind with its story and shows them with the metrics; AttemptGuard (starting, repeating), ConnectionPool (sending), ClientRequest (answering) and ConnectionCloser (closing) report to it and do the safe thing. A second answer no longer raises. Log lines: requests with more than one attempt or a failure (two a second), endings of attempts and of clients' connections, changes of the endpoint list by name, ejections. A violation fails the test in which it occurs. The test of hedged attempts allows them by the settings now, and a new one holds that they are refused without.

--- a/quota_gateway/decisions/endpoint_set.py
+++ b/quota_gateway/decisions/endpoint_set.py
@@ -52,6 +52,7 @@
         if state.available and is_restart and is_young:
             state.start_warming_up(endpoint.started_at)
             state.start_allowance(now)
+            self.context.actions.append(model.Log(f"{state.label}: slow start"))
             state.ejected_until = min(state.ejected_until, now)
 
     def rebuild_hash_ring(self, now: float) -> None:
--- a/quota_gateway/decisions/outlier_detection.py
+++ b/quota_gateway/decisions/outlier_detection.py
@@ -47,6 +47,8 @@
             weight = DOWN_WEIGHT if is_down else FAILURE_WEIGHT
             state.failure_rate += weight * (is_failure - state.failure_rate)
         if event.status is CallStatus.OK:
+            if state.half_open:
+                self._log(state, "half-open -> in service")
             state.recover(now)
             if state.failure_rate < max(MIN_FAILURE_RATE, usual):
                 state.ejection_time = 0.0
@@ -79,4 +81,8 @@
         state.ejected_until = now + state.ejection_time
         state.half_open = True
         state.failure_rate = HALF_OPEN_FAILURE_RATE
+        self._log(state, f"in service -> ejected for {state.ejection_time:.1f} s, {cause}")
         self.endpoints.choose_subset(now)
+
+    def _log(self, state: EndpointState, transition: str) -> None:
+        self.endpoints.context.actions.append(model.Log(f"{state.label}: {transition}"))
--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -10,6 +10,7 @@
 from quota_gateway.net.body_stream import BodyStream
 from quota_gateway.net.client_liveness import ClientLiveness
 from quota_gateway.net.client_request import ClientRequest
+from quota_gateway.net.client_stats import CloseReason
 from quota_gateway.net.connection_closing import ConnectionCloser
 from quota_gateway.net.request_reader import MAX_PIPELINE, RequestReader
 
@@ -65,6 +66,7 @@
         """Unregister, and give up what is unanswered."""
         self.transport = None
         self.closer.detach()
+        self.listener.stats.ended[self.closer.reason] += 1
         self.listener.active_connections -= self.has_sent_data
         self.listener.disconnected(self)
         self.notify_disconnected()
@@ -214,8 +216,8 @@
         stalled = now - first.last_progress > RESPONSE_STALL_TIMEOUT
         if first.response_stream is not None and self._write_blocked and stalled:
             log.warning("a client took nothing of its streamed response")
-            self.abort()
+            self.abort(CloseReason.STALLED)
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Reset the connection at once."""
-        self.closer.abort()
+        self.closer.abort(reason)
--- a/quota_gateway/net/client_liveness.py
+++ b/quota_gateway/net/client_liveness.py
@@ -7,6 +7,8 @@
 import socket
 from typing import TYPE_CHECKING
 
+from quota_gateway.net.client_stats import CloseReason
+
 if TYPE_CHECKING:
     from quota_gateway.net.client_connection import ClientConnection
 
@@ -85,7 +87,7 @@
             return
         _, events = found[0]
         if events & ~select.POLLRDHUP:
-            connection.abort()
+            connection.abort(CloseReason.CLIENT_GONE)
             return
         if self._input_ended_at is None:
             self._input_ended_at = self.last_seen_at
@@ -113,7 +115,7 @@
         if connection.transport is None or connection.transport.is_closing() or not connection.request_queue:
             return
         if _has_socket_error(connection.transport):
-            connection.abort()
+            connection.abort(CloseReason.CLIENT_GONE)
             return
         self._is_confirmed = True
         self._notify_maybe_gone()
--- a/quota_gateway/net/client_request.py
+++ b/quota_gateway/net/client_request.py
@@ -6,6 +6,8 @@
 
 from quota_gateway import model
 from quota_gateway.net.body_stream import BodyStream
+from quota_gateway.net.client_stats import CloseReason
+from quota_gateway.net.invariants import Invariant
 
 if TYPE_CHECKING:
     from quota_gateway.net.client_connection import ClientConnection
@@ -74,10 +76,10 @@
     ) -> None:
         """Set the final response (``retry_after`` in seconds); the connection writes it in its turn.
 
-        Raises RuntimeError if the request has a response already.
+        A request that has its response already keeps that one.
         """
-        if self.response is not None or self.response_stream is not None:
-            raise RuntimeError("a request was answered twice")
+        if not self._may_answer(status):
+            return
         connection = self._connection
         if self.upload is not None and not self.upload.complete:
             connection.reader.discard_upload()
@@ -93,10 +95,11 @@
     def begin_response(self, headers: bytes, stream: BodyStream) -> None:
         """Begin a streamed final response of status 200; its body follows from ``stream``.
 
-        Raises RuntimeError if the request has a response already.
+        A request that has its response already keeps that one, and the stream is abandoned.
         """
-        if self.response is not None or self.response_stream is not None:
-            raise RuntimeError("a request was answered twice")
+        if not self._may_answer(200):
+            stream.abandon()
+            return
         connection = self._connection
         connection.listener.open_request_ids.discard(self.request_id)
         connection.listener.metrics.streaming_responses += 1
@@ -112,6 +115,14 @@
         self.response_head = STATUS_LINES[200] + headers + framing
         connection.flush()
 
+    def _may_answer(self, status: int) -> bool:
+        """Guard of the one final answer."""
+        if self.response is None and self.response_stream is None:
+            return True
+        story = f"request {self.request_id.decode('latin-1')}: answered {status} behind its final answer"
+        self._connection.listener.metrics.invariants.report(Invariant.ANSWERED_ONCE, story)
+        return False
+
     def is_client_connected(self) -> bool:
         """Whether an attempt may begin: not for a client that left or ended its sending side a while ago."""
         return self._connection.liveness.is_connected()
@@ -132,7 +143,7 @@
     def truncate(self) -> None:
         """Abort the connection: its end shows the client that the response is incomplete."""
         self._end_stream(502)
-        self._connection.abort()
+        self._connection.abort(CloseReason.TRUNCATED)
 
     def _end_stream(self, status: int) -> None:
         metrics = self._connection.listener.metrics
--- a/quota_gateway/net/connection_closing.py
+++ b/quota_gateway/net/connection_closing.py
@@ -11,7 +11,9 @@
 import termios
 from typing import TYPE_CHECKING
 
+from quota_gateway.net.client_stats import VOLUNTARY, CloseReason
 from quota_gateway.net.http_common import MAX_STREAMED_BODY
+from quota_gateway.net.invariants import Invariant
 
 if TYPE_CHECKING:
     from quota_gateway.net.client_connection import ClientConnection
@@ -31,9 +33,12 @@
 
 
 class ConnectionCloser:
-    """Closes one connection; holds its transport while the close lingers."""
+    """Closes one connection; holds its transport while the close lingers.
 
-    __slots__ = ("_connection", "_discarded", "_linger_time", "_max_discarded", "_transport")
+    Every ending by the limiter goes through ``_begin``, the guard of requests without an answer.
+    """
+
+    __slots__ = ("_connection", "_discarded", "_linger_time", "_max_discarded", "_transport", "reason")
 
     def __init__(self, connection: ClientConnection) -> None:
         """Create the closer of an open connection."""
@@ -42,6 +47,7 @@
         self._discarded = 0  # bytes
         self._linger_time = LINGER_TIME
         self._max_discarded = MAX_DISCARDED
+        self.reason = CloseReason.BY_CLIENT  # until the limiter ends it
 
     @property
     def is_lingering(self) -> bool:
@@ -68,7 +74,7 @@
         """Count discarded input; abort where it is too much."""
         self._discarded += size
         if self._discarded > self._max_discarded:
-            self.abort()
+            self.abort(CloseReason.TOO_MUCH_INPUT)
 
     def close_after_response(self) -> None:
         """Close behind a response: half-close, and discard input for a while (lingering close)."""
@@ -76,6 +82,7 @@
         transport = self._take_transport()
         if transport is None:
             return
+        self._begin(CloseReason.RESPONSE)
         connection.notify_disconnected()
         if transport.is_closing():
             return
@@ -84,7 +91,7 @@
         transport.write_eof()
         asyncio.get_running_loop().call_later(self._linger_time, transport.close)
 
-    def close_idle(self) -> bool:
+    def close_idle(self, reason: CloseReason = CloseReason.IDLE) -> bool:
         """Close between two requests, unless one was received that has not been read; whether it closed.
 
         The end is sent in the same step as the look: a request after it has crossed it, and is sent again.
@@ -94,6 +101,7 @@
             return False
         if transport.get_write_buffer_size() == 0:
             _shut_down_sending(transport)
+        self._begin(reason)
         self._take_transport()
         transport.close()
         return True
@@ -118,15 +126,16 @@
         """Close or abort, unless a request, or the rest of one, is unread; whether the connection went."""
         connection = self._connection
         if connection.transport is not None and not connection.reader.in_message:
-            return self.close_idle()
+            return self.close_idle(CloseReason.EVICTED)
         if connection.transport is not None and self.has_unread_input:
             return False
-        self.abort()
+        self.abort(CloseReason.EVICTED)
         return True
 
-    def abort(self) -> None:
+    def abort(self, reason: CloseReason) -> None:
         """Reset the connection at once."""
         connection = self._connection
+        self._begin(reason)
         connection.notify_disconnected()
         if connection.transport is not None:
             self._transport = connection.transport
@@ -134,6 +143,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _begin(self, reason: CloseReason) -> None:
+        """Note why the limiter ends the connection; without need none with an unanswered request ends."""
+        if self.reason is CloseReason.BY_CLIENT:
+            self.reason = reason
+        if reason not in VOLUNTARY:
+            return
+        unanswered = [
+            request.request_id.decode("latin-1")
+            for request in self._connection.request_queue
+            if request.response is None and request.response_stream is None
+        ]
+        if unanswered:
+            story = f"{reason} with unanswered requests: {', '.join(unanswered)}"
+            self._connection.listener.metrics.invariants.report(Invariant.ANSWERED_BEFORE_CLOSE, story)
+
     def detach(self) -> None:
         """Forget the transport, which is closed."""
         self._transport = None
--- a/quota_gateway/net/connection_pool.py
+++ b/quota_gateway/net/connection_pool.py
@@ -6,13 +6,16 @@
 import errno
 import logging
 import math
+from collections import Counter
 
 from quota_gateway.model import CallStatus
 from quota_gateway.net.connection_stats import ConnectionStats
 from quota_gateway.net.endpoint_table import EndpointTable
 from quota_gateway.net.exchange import Exchange
 from quota_gateway.net.idle_policy import STALE_BREAK_WINDOW, IdlePolicy
+from quota_gateway.net.invariants import Invariant
 from quota_gateway.net.metrics import Metrics
+from quota_gateway.net.request_log import describe_attempt
 from quota_gateway.net.upstream_connection import UpstreamConnection
 from quota_gateway.net.upstream_endpoint import UpstreamEndpoint
 from quota_gateway.net.upstream_writer import Clock, UpstreamWriter
@@ -45,22 +48,29 @@
         self._max_connections = max_connections
         self._endpoints = EndpointTable()
         self.stats = ConnectionStats()
+        self._attempt_endings = Counter[CallStatus]()  # since the last log line
         self._metrics = metrics or Metrics()
         self._scan_count = 0
+        self._connection_count = 0  # ever opened
         self._connecting = set[asyncio.Task[None]]()
         self._scan_timer = asyncio.get_running_loop().call_later(SCAN_INTERVAL, self._scan)
 
-    def update_endpoint(self, name: str, address: str, available: bool) -> None:
+    def update_endpoint(self, name: str, address: str, available: bool, started_at: float = 0.0) -> None:
         """Take what discovery says of an endpoint; ``address`` is empty where it names none.
 
-        Idle connections are closed at once if it is not available or has moved.
+        Idle connections are closed at once if it is not available or has moved. ``started_at`` is its Unix
+        time of start, where that is known.
         """
-        self._endpoints.update(name, address, available)
+        self._endpoints.update(name, address, available, started_at)
 
     def retain_only(self, names: set[str]) -> None:
         """Take a complete list: endpoints that it leaves out are gone."""
         self._endpoints.retain_only(names)
 
+    def log_transitions(self) -> None:
+        """Log what the last updates have changed, by name."""
+        self._endpoints.log_transitions()
+
     def exclude(self, names: frozenset[str]) -> None:
         """Send nothing new to these endpoints, suspended by operators, and close their idle connections."""
         self._endpoints.exclude(names)
@@ -121,6 +131,7 @@
             return
         exchange.completed = True
         exchange.status = status
+        self._attempt_endings[status] += 1
         exchange.elapsed = self.clock() - exchange.started_at
         if exchange.timer is not None:
             exchange.timer.cancel()
@@ -132,7 +143,8 @@
         return self._endpoints.open_connections < self._max_connections or self._endpoints.evict_idle()
 
     async def _connect(self, endpoint: UpstreamEndpoint, exchange: Exchange) -> None:
-        connection = UpstreamConnection(self, endpoint)
+        self._connection_count += 1
+        connection = UpstreamConnection(self, endpoint, self._connection_count)
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(self._connect_timeout):
@@ -154,6 +166,8 @@
         remaining = exchange.expires_at - self.clock()
         endpoint = connection.endpoint
         usable = connection.address == endpoint.address and self._endpoints.is_usable(endpoint)
+        if self._breaks_invariant(connection, exchange):
+            return
         # The client is asked last: that polls its socket, and may withdraw this very exchange.
         if remaining <= 0 or not usable or exchange.has_lost_client():
             self.release(connection, True)
@@ -162,6 +176,22 @@
         timeout_header = b"X-Timeout-Ms: %d\r\n\r\n" % timeout_ms
         connection.send(exchange, exchange.request_head + timeout_header + exchange.request_body)
 
+    def _breaks_invariant(self, connection: UpstreamConnection, exchange: Exchange) -> bool:
+        """Guard of all that is written to endpoints; what breaks an invariant is not."""
+        if exchange.completed or exchange.connection is not None:
+            self._report(Invariant.SENT_WHILE_OPEN, connection, exchange)
+            self.release(connection, True)
+            return True
+        if connection.exchange is not None:
+            self._report(Invariant.ONE_REQUEST_A_CONNECTION, connection, exchange)
+            self.complete(exchange, CallStatus.NOT_SENT)
+            return True
+        return False
+
+    def _report(self, invariant: Invariant, connection: UpstreamConnection, exchange: Exchange) -> None:
+        story = f"{describe_attempt(0, exchange)}, to be sent on connection {connection.number}"
+        self._metrics.invariants.report(invariant, story)
+
     def _on_expired(self, exchange: Exchange) -> None:
         self._give_up(exchange, CallStatus.TIMEOUT if exchange.may_be_executing() else CallStatus.NOT_SENT)
 
@@ -223,6 +253,13 @@
         if self._scan_count % SCANS_PER_LOG_LINE == 0:
             self.stats.log_counts(self._endpoints.open_connections)
             self.stats = ConnectionStats()
+            self._log_attempt_endings()
+
+    def _log_attempt_endings(self) -> None:
+        if self._attempt_endings:
+            counts = [f"{status.value} {count}" for status, count in self._attempt_endings.items()]
+            log.info("attempts and health checks: %s", ", ".join(sorted(counts)))
+        self._attempt_endings.clear()
 
 
 def _connect_failure(error: OSError) -> CallStatus:
--- a/quota_gateway/net/dispatcher.py
+++ b/quota_gateway/net/dispatcher.py
@@ -69,7 +69,7 @@
         self._events: deque[model.Event] = deque()
         self._dispatching = False
         self._terminating = False
-        self._requests = RequestTable(settings, clock, pool, self.dispatch)
+        self._requests = RequestTable(settings, clock, pool, self.dispatch, self._metrics.invariants)
         self._admin_calls = AdminCalls(self._metrics, self._requests)
         self._executors = self._executors_by_action()
 
@@ -136,7 +136,9 @@
             self._pool.retain_only(set(watch_event.addresses))
         for endpoint in update.endpoints:
             is_healthy = endpoint.health is model.EndpointHealth.HEALTHY
-            self._pool.update_endpoint(endpoint.name, watch_event.addresses[endpoint.name], is_healthy)
+            address = watch_event.addresses[endpoint.name]
+            self._pool.update_endpoint(endpoint.name, address, is_healthy, endpoint.started_at)
+        self._pool.log_transitions()
         self.dispatch(update)
 
     def on_request(self, request: ClientRequest) -> None:
--- a/quota_gateway/net/exchange.py
+++ b/quota_gateway/net/exchange.py
@@ -44,6 +44,9 @@
     load_report: dict[str, float] = field(default_factory=dict)
     charged_units: float | None = None  # quota units that the endpoint charged for the request
     is_health_check: bool = False
+    endpoint_started_at: float = 0.0  # which incarnation of the endpoint it was sent to, by its start time
+    connection_number: int = 0  # of the connection that carried it, from 1; 0: none did
+    on_reused_connection: bool = False
     # Whether the client is still connected, asked just before the request is written.
     is_client_connected: Callable[[], bool] | None = None
     connection: ExchangeConnection | None = None  # set while a connection carries it
--- a/quota_gateway/net/listener.py
+++ b/quota_gateway/net/listener.py
@@ -13,6 +13,7 @@
 from quota_gateway import model
 from quota_gateway.net.client_connection import ClientConnection
 from quota_gateway.net.client_request import RequestHandler
+from quota_gateway.net.client_stats import ClientStats, CloseReason
 from quota_gateway.net.metrics import Metrics
 from quota_gateway.net.request_parser import RequestParser
 
@@ -20,6 +21,7 @@
 T = TypeVar("T")
 
 BACKLOG = 1024  # connections in the accept queue
+SCANS_PER_LOG_LINE = 50
 SCAN_INTERVAL = 0.2  # seconds between two scans for idle and slow clients: one timer for all of them
 DESCRIPTOR_WAIT = 0.1  # seconds that the last clients of a closing listener may wait for a descriptor
 DESCRIPTOR_RETRY_INTERVAL = 0.01  # seconds
@@ -44,6 +46,7 @@
         self.handler = handler
         self.parser = RequestParser(settings, self.clock)
         self.metrics = metrics or Metrics()
+        self.stats = ClientStats()
         self.draining = False
         self.closes_idle_connections = False  # no idle connection is kept any more
         self.open_request_ids = set[bytes]()
@@ -51,6 +54,7 @@
         self._max_connections = max_connections
         self._crowded_above = CROWDED_FRACTION * max_connections
         self._scan_timer: asyncio.TimerHandle | None = None
+        self._scan_count = 0
         self.connections = dict[ClientConnection, None]()  # in the order of their connecting
         self._server: asyncio.Server | None = None
         self._accept_queue: socket.socket | None = None  # the same listening socket, for its last clients
@@ -87,7 +91,8 @@
         """Register a connection; at the limit another one is evicted or, with all busy, this one aborted."""
         if len(self.connections) >= self._max_connections and not self._evict_one():
             log.warning("out of client connections")
-            client.abort()
+            client.abort(CloseReason.OUT_OF_CONNECTIONS)
+        self.stats.accepted += 1
         self.connections[client] = None
 
     def _evict_one(self) -> bool:
@@ -113,6 +118,9 @@
         now = self.clock()
         for client in list(self.connections):
             client.check_timeouts(now)
+        self._scan_count += 1
+        if self._scan_count % SCANS_PER_LOG_LINE == 0:
+            self.stats.log_counts(len(self.connections))
 
     @property
     def closes_connections(self) -> bool:
--- a/quota_gateway/net/metrics.py
+++ b/quota_gateway/net/metrics.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from quota_gateway.net.invariants import InvariantMonitor
+
 STATUS_OK = 200
 REJECTION_STATUSES = (429, 503)
 
@@ -19,7 +21,7 @@
 
 
 class Metrics:
-    """Requests by class and by how they ended, attempts, and reloads."""
+    """Requests by class and by how they ended, attempts, reloads, and violations of invariants."""
 
     def __init__(self, classes: Iterable[str] = ()) -> None:
         """``classes`` are the names of the request classes that are shown from the start."""
@@ -28,6 +30,7 @@
         self.reloads = 0
         self.reload_errors = 0
         self.in_progress = 0  # requests that were accepted and have not ended
+        self.invariants = InvariantMonitor()
         self.streaming_responses = 0  # of them those whose response body is streamed
         self.register_classes(classes)
 
@@ -66,4 +69,6 @@
         lines.append(f"app.skipped_servers={avoided_endpoints}")
         lines.append(f"app.loads={self.reloads}")
         lines.append(f"app.load_errors={self.reload_errors}")
+        for invariant, count in self.invariants.counts.items():
+            lines.append(f"app.violations.{invariant}={count}")
         return "\n".join(lines) + "\n"
--- a/quota_gateway/net/request_table.py
+++ b/quota_gateway/net/request_table.py
@@ -13,10 +13,13 @@
 from functools import partial
 
 from quota_gateway import model
+from quota_gateway.net.attempt_guard import AttemptGuard
 from quota_gateway.net.body_stream import BodyStream
 from quota_gateway.net.client_request import ClientRequest
 from quota_gateway.net.connection_pool import ConnectionPool
 from quota_gateway.net.exchange import Exchange
+from quota_gateway.net.invariants import InvariantMonitor
+from quota_gateway.net.request_log import RequestLog
 
 log = logging.getLogger(__name__)
 
@@ -33,11 +36,12 @@
 class PendingRequest:
     """A request that has no final answer yet."""
 
-    __slots__ = ("attempts", "deadline", "max_attempts", "request", "timer")
+    __slots__ = ("attempts", "deadline", "event", "max_attempts", "request", "timer")
 
-    def __init__(self, request: ClientRequest, max_attempts: int) -> None:
+    def __init__(self, request: ClientRequest, event: model.Request, max_attempts: int) -> None:
         """Open a request; its deadline is set when it has arrived completely."""
         self.request = request
+        self.event = event
         self.deadline = math.inf  # seconds of the dispatcher's clock
         self.max_attempts = max_attempts
         self.attempts: list[Exchange] = []
@@ -53,6 +57,7 @@
         clock: Callable[[], float],
         pool: ConnectionPool,
         dispatch: Callable[[model.Event], None],
+        invariants: InvariantMonitor | None = None,
     ) -> None:
         """Create the table in a running event loop; ``clock`` gives seconds."""
         super().__init__()
@@ -60,11 +65,15 @@
         self._pool = pool
         self._dispatch = dispatch
         self._loop = asyncio.get_running_loop()
+        self._invariants = invariants or InvariantMonitor()
+        self._guard = AttemptGuard(self._invariants)
+        self._log = RequestLog()
         self.apply_settings(settings)
 
     def apply_settings(self, settings: model.Settings) -> None:
         """Use new limits; a lower number of attempts holds for open requests too."""
         self._max_attempts = settings.max_attempts
+        self._guard.apply_settings(settings)
         self.shutdown_retry_after = min(SHUTDOWN_RETRY_AFTER, settings.max_retry_after)
 
     @property
@@ -75,7 +84,7 @@
     def add(self, request: ClientRequest, event: model.Request) -> model.Request:
         """Register a request; returns its event with the time that the decisions have."""
         margin = _answer_margin(event.timeout)
-        opened = PendingRequest(request, self._max_attempts)
+        opened = PendingRequest(request, event, self._max_attempts)
         self[event.id] = opened
         if not event.uploading:  # else its timeout begins with its last byte
             self._start_deadline(opened, event, self._clock(), margin)
@@ -124,6 +133,7 @@
         if opened is None:
             return
         log.warning("a request was answered %d in place of the decisions", status)
+        self._log_end(opened, str(status))
         retry_after = self.shutdown_retry_after if status == 503 else None
         opened.request.respond(status, retry_after=retry_after)
         self._dispatch(model.ClientDisconnected(request_id))
@@ -138,16 +148,20 @@
         """Start an attempt, or report it as not sent if the request may have no more of them."""
         opened = self.get(action.request_id)
         if opened is None:
-            log.error("dropped an attempt for a request that has ended")
+            log.error("dropped an attempt for a request that has ended")  # its client left in this turn
             return
         number = len(opened.attempts)
+        is_allowed = self._guard.may_start(opened, self._clock())
         attempt = self._new_attempt(action, opened, number)
         opened.attempts.append(attempt)
-        if number < min(opened.max_attempts, self._max_attempts):
+        if is_allowed and number < min(opened.max_attempts, self._max_attempts):
             self._pool.start(attempt)
         else:
             self._pool.complete(attempt, model.CallStatus.NOT_SENT)
 
+    def _log_end(self, opened: PendingRequest, answer: str) -> None:
+        self._log.answered(self._clock(), opened.request.request_id, opened.event, opened.attempts, answer)
+
     def _new_attempt(self, action: model.Forward, opened: PendingRequest, number: int) -> Exchange:
         request = opened.request
         timeout = action.timeout or math.inf
@@ -179,6 +193,7 @@
     def _attempt_completed(self, request_id: int, number: int, attempt: Exchange) -> None:
         succeeded = attempt.status is model.CallStatus.OK
         if succeeded and (opened := self.close(request_id)) is not None:
+            self._log_end(opened, "200")
             opened.request.respond(200, attempt.response_body, attempt.response_headers)
         self._dispatch(
             model.AttemptCompleted(
@@ -198,12 +213,14 @@
         """Answer 429."""
         opened = self.close(action.request_id)
         if opened is not None:
+            self._log_end(opened, "429")
             opened.request.respond(429, retry_after=max(0.0, action.retry_after))
 
     def fail(self, action: model.Fail) -> None:
         """Answer 502."""
         opened = self.close(action.request_id)
         if opened is not None:
+            self._log_end(opened, "502")
             opened.request.respond(502)
 
     def cancel_attempt(self, action: model.CancelAttempt) -> None:
--- a/quota_gateway/net/upstream_connection.py
+++ b/quota_gateway/net/upstream_connection.py
@@ -56,9 +56,10 @@
 
     _owner: ConnectionOwner
 
-    def __init__(self, owner: ConnectionOwner, endpoint: UpstreamEndpoint) -> None:
-        """A connection that is about to be opened to the endpoint's present address."""
+    def __init__(self, owner: ConnectionOwner, endpoint: UpstreamEndpoint, number: int = 0) -> None:
+        """A connection to be opened to the endpoint's present address; the log shows ``number``."""
         super().__init__(owner, endpoint)
+        self.number = number
         self.idle_since: float | None = None  # by the owner's clock; None while it carries its first request
         self.idle_time = 0.0  # seconds that it was idle before its present request
         self._parser = ResponseParser(self._on_large_body)
@@ -70,6 +71,9 @@
         self._parser.reset()
         self._received_bytes = 0
         exchange.connection = self
+        exchange.connection_number = self.number
+        exchange.on_reused_connection = self.idle_since is not None
+        exchange.endpoint_started_at = self.endpoint.started_at
         self._write_request(exchange, data)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/quota_gateway/net/upstream_endpoint.py
+++ b/quota_gateway/net/upstream_endpoint.py
@@ -21,6 +21,7 @@
     name: str
     address: tuple[str, int]
     available: bool = True  # says discovery
+    started_at: float = 0.0  # Unix time of its start, as discovery says; 0: not known
     open_connections: int = 0  # those being connected too
     idle: list[UpstreamConnection] = field(default_factory=list)  # the most recently used last
 
--- a/quota_gateway/state/endpoint.py
+++ b/quota_gateway/state/endpoint.py
@@ -43,6 +43,11 @@
     def __post_init__(self) -> None:
         self.hash_position = blake2b(self.endpoint.name.encode(), digest_size=8).digest()
 
+    @property
+    def label(self) -> str:
+        """Its name and incarnation, for log lines."""
+        return f"endpoint {self.endpoint.name} (started {self.endpoint.started_at:.3f})"
+
     def update(self, endpoint: Endpoint) -> bool:
         """Take an entry of the endpoint list; gives whether it is a later incarnation than the known one."""
         is_known = self.endpoint is not endpoint
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -7,6 +7,7 @@
 import os
 import socket
 import sys
+import tempfile
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -75,17 +76,23 @@
 async def started(
     raw: dict[str, Any], folder: Path, fds: tuple[int, ...] = (), **env: str
 ) -> AsyncIterator[Program]:
-    """A gateway that is ready; at the end it is killed unless it has exited."""
+    """A gateway that is ready; at the end it is killed unless it has exited, and its log is searched."""
     path = folder / "config.json"
     path.write_text(json.dumps(raw))
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "quota_gateway", env={**os.environ, "LB_CONFIG": str(path), **env}, pass_fds=fds
-    )
-    program = Program(process, raw["listen"])
-    try:
-        await program.ready()
-        yield program
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+    environment = {**os.environ, "LB_CONFIG": str(path), **env}
+    with tempfile.TemporaryFile() as log:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "quota_gateway", env=environment, pass_fds=fds, stderr=log
+        )
+        program = Program(process, raw["listen"])
+        try:
+            await program.ready()
+            yield program
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            log.seek(0)
+            text = log.read().decode()
+            print(text, file=sys.stderr)
+        assert "invariant violated" not in text
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
 
 from quota_gateway import model
 from quota_gateway.net.dispatcher import unix_clock
+from quota_gateway.net.invariants import Invariant, Violation
+from tests.client_helpers import on_timer
 from tests.loopback import (
     OK_RESPONSE,
+    SETTINGS,
     LoopbackLimiter,
     ScriptedDecisions,
     ScriptedEndpoint,
@@ -138,6 +142,7 @@
     ):
         script = ScriptedDecisions(hedge)
         async with LoopbackLimiter(script, {"s1": silent_address, "s2": responsive_address}) as limiter:
+            limiter.dispatcher.reconfigure(replace(SETTINGS, may_hedge=True))
             assert " 200 " in (await limiter.fetch(http_request()))[0]
             completed = await script.wait_for(model.AttemptCompleted, 2)
             attempts = {event.attempt: event for event in completed}
@@ -145,6 +150,79 @@
             assert attempts[0].status is model.CallStatus.CANCELLED and attempts[0].request_finished
 
 
+def forward_twice(event: model.Event) -> list[model.Action]:
+    """Two attempts at once; what fails is rejected."""
+    if isinstance(event, model.Request):
+        return [model.Forward(event.id, "s1", 5.0), model.Forward(event.id, "s1", 5.0)]
+    return []
+
+
+@async_test
+async def test_a_second_attempt_beside_the_first_is_a_violation_and_is_not_sent(
+    no_violations: list[Violation],
+) -> None:
+    origin = ScriptedEndpoint()
+    script = ScriptedDecisions(forward_twice)
+    async with (
+        running_server(origin.handle_connection) as address,
+        LoopbackLimiter(script, {"s1": address}) as limiter,
+    ):
+        assert " 200 " in (await limiter.fetch(http_request()))[0]
+        completed = await script.wait_for(model.AttemptCompleted, 2)
+        assert [event.status for event in completed if event.attempt == 1] == [model.CallStatus.NOT_SENT]
+        assert len(origin.requests) == 1
+    assert [violation.invariant for violation in no_violations] == [Invariant.ONE_ATTEMPT_AT_A_TIME]
+    no_violations.clear()
+
+
+@async_test
+async def test_an_unsafe_repeat_is_a_violation_and_is_not_sent(
+    no_violations: list[Violation], caplog: pytest.LogCaptureFixture
+) -> None:
+    """The first attempt of a request that may not be repeated failed, and may have been executed."""
+
+    def repeat(event: model.Event) -> list[model.Action]:
+        if isinstance(event, model.AttemptCompleted) and event.attempt == 0:
+            return [model.Forward(event.request_id, "s1", 5.0)]
+        if isinstance(event, model.AttemptCompleted):
+            return [model.Fail(event.request_id)]
+        return forward_to_s1(event)
+
+    origin = ScriptedEndpoint(lambda _number: b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+    async with (
+        running_server(origin.handle_connection) as address,
+        LoopbackLimiter(ScriptedDecisions(repeat), {"s1": address}) as limiter,
+    ):
+        for _ in range(2):
+            post = http_request("/post?account=00000000b4d65521", b"abc")
+            assert " 502 " in (await limiter.fetch(post))[0]
+        assert len(origin.requests) == 2
+    assert [violation.invariant for violation in no_violations] == [Invariant.REPEATED_SAFELY] * 2
+    assert caplog.text.count("invariant violated: repeated_safely") == 1  # logged once, with what led to it
+    assert "attempt 0 at s1" in no_violations[0].story and "error after" in no_violations[0].story
+    no_violations.clear()
+
+
+@async_test
+async def test_a_second_answer_is_a_violation_and_the_first_one_stays(
+    no_violations: list[Violation],
+) -> None:
+    script = ScriptedDecisions(lambda _event: [])
+    async with LoopbackLimiter(script, {}) as limiter:
+        reader, writer = await limiter.connect()
+        writer.write(http_request() + http_request(Connection="close"))
+        first, second = await script.wait_for(model.Request, 2)
+        client_request = limiter.dispatcher._requests[second.id].request
+        client_request.respond(502)
+        client_request.respond(504)
+        script.decide = on_timer([model.Reject(first.id, 0.1), model.Reject(second.id, 0.1)])
+        limiter.dispatcher.dispatch(model.TimerFired(1))
+        answers = await reader.read()
+        assert b" 429 " in answers and b" 502 " in answers and answers.count(b"HTTP/1.1 ") == 2
+    assert [violation.invariant for violation in no_violations] == [Invariant.ANSWERED_ONCE] * 2
+    no_violations.clear()
+
+
 @async_test
 async def test_exception_in_the_decisions_is_contained(caplog: pytest.LogCaptureFixture) -> None:
     def fail_on_posts(event: model.Event) -> list[model.Action]:
--- a/tests/test_wire_formats.py
+++ b/tests/test_wire_formats.py
@@ -169,6 +169,13 @@
 app.skipped_servers=1
 app.loads=6
 app.load_errors=7
+app.violations.answered_once=0
+app.violations.answered_before_close=0
+app.violations.sent_while_open=0
+app.violations.one_request_a_connection=0
+app.violations.one_attempt_at_a_time=0
+app.violations.repeated_safely=0
+app.violations.started_completely=0
 EOT
 """
 
