Failing tests: failing accept, clocks that are off, clients that stop in a request

The soak test takes ports that the system gives to nobody else: two runs at once broke off with a port in use.

--- a/soak/limiters.py
+++ b/soak/limiters.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -14,7 +15,6 @@
 from pathlib import Path
 from typing import Any
 
-from scale.processes import free_port
 from scale.worker import ROOT
 from soak.errors import SoakError
 from soak.fault_control import FaultControl
@@ -24,6 +24,8 @@
 
 READY_TIMEOUT = 20.0  # seconds
 COMMAND_TIMEOUT = 3.0  # seconds
+PORTS = range(12_000, 30_000)  # not those that the system gives to connections: a restart wants its port back
+PORT_TRIES = 200
 KILL_GRACE = 0.7  # seconds behind the longest deadline until SIGKILL follows SIGTERM
 MAX_SOCKETS = 512
 LOG_TAIL = 4000  # characters of a process's log that are kept
@@ -50,6 +52,16 @@
         return self.log_path.read_text(errors="replace")
 
 
+def free_port() -> int:
+    """A port of loopback that nothing uses, for a listener that comes and goes; ``SoakError`` without one."""
+    for _ in range(PORT_TRIES):
+        port = random.choice(PORTS)
+        with socket.socket() as candidate, contextlib.suppress(OSError):
+            candidate.bind((LOOPBACK, port))
+            return port
+    raise SoakError("no free port")
+
+
 class LimiterSlot:
     """One limiter: its address, folder, configuration and network, and the processes that are it now."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
 from quota_gateway.net import invariants
+from soak.fault_control import build_library
+from tests.gateway_process import ProcessFaults
 from tests.simulation import GatewaySimulation, start_simulation
 
 
@@ -24,3 +27,17 @@
 def simulation() -> GatewaySimulation:
     """One gateway with the default settings that knows three endpoints."""
     return start_simulation("s0", "s1", "s2")
+
+
+@pytest.fixture(scope="session")
+def fault_library(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """The library that makes system calls fail in a process that loads it."""
+    return build_library(tmp_path_factory.mktemp("fault-library"))
+
+
+@pytest.fixture
+def faults(fault_library: Path, tmp_path: Path) -> Iterator[ProcessFaults]:
+    """Faults of one process, none at first."""
+    process_faults = ProcessFaults(fault_library, tmp_path)
+    yield process_faults
+    process_faults.control.close()
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -8,11 +8,12 @@
 import socket
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
+from soak.fault_control import FaultControl
 from tests.loopback import read_message
 
 POLL_INTERVAL = 0.02  # seconds between two attempts to connect to a process that is starting
@@ -42,6 +43,21 @@
     }  # fmt: skip
 
 
+class ProcessFaults:
+    """What goes wrong in a process that is started with ``environment``."""
+
+    def __init__(self, library: Path, folder: Path) -> None:
+        self.control = FaultControl(folder / "fault-control")
+        self.shared_folder = folder / "shared"
+        self.shared_folder.mkdir()
+        self.environment = {
+            "LD_PRELOAD": str(library),
+            "SOAK_FAULT_CONTROL": str(self.control.path),
+            "SOAK_FAULT_FOLDER": str(self.shared_folder),
+            "TMPDIR": str(self.shared_folder),
+        }
+
+
 class Program:
     """A started gateway."""
 
@@ -74,15 +90,19 @@
 
 @asynccontextmanager
 async def started(
-    raw: dict[str, Any], folder: Path, fds: tuple[int, ...] = (), **env: str
+    raw: dict[str, Any],
+    folder: Path,
+    fds: tuple[int, ...] = (),
+    environment: Mapping[str, str] | None = None,
+    **env: str,
 ) -> AsyncIterator[Program]:
     """A gateway that is ready; at the end it is killed unless it has exited, and its log is searched."""
     path = folder / "config.json"
     path.write_text(json.dumps(raw))
-    environment = {**os.environ, "LB_CONFIG": str(path), **env}
+    variables = {**os.environ, "LB_CONFIG": str(path), **(environment or {}), **env}
     with tempfile.TemporaryFile() as log:
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "quota_gateway", env=environment, pass_fds=fds, stderr=log
+            sys.executable, "-m", "quota_gateway", env=variables, pass_fds=fds, stderr=log
         )
         program = Program(process, raw["listen"])
         try:
--- /dev/null
+++ b/tests/test_accept_errors.py
@@ -0,0 +1,39 @@
+"""Calls that fail for a moment while a limiter starts and serves: it goes on accepting."""
+
+from __future__ import annotations
+
+import errno
+from pathlib import Path
+
+import pytest
+
+from soak.fault_control import ACCEPT_ERRNO, ACCEPT_FAILURES
+from tests.admin_client import send_command
+from tests.gateway_process import ProcessFaults, config, free_port, started
+from tests.loopback import ScriptedEndpoint, async_test, http_request, read_message, running_server
+
+
+@pytest.mark.parametrize(
+    "error", [errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO]
+)
+@async_test
+async def test_a_failing_accept_costs_no_client_and_does_not_end_accepting(
+    error: int, tmp_path: Path, faults: ProcessFaults
+) -> None:
+    """The first accepts behind a connection fail, at the clients' address and at the operators'."""
+    port = free_port()
+    async with (
+        running_server(ScriptedEndpoint().handle_connection) as endpoint,
+        started(
+            config(endpoint), tmp_path, LB_MGMT=f"127.0.0.1:{port}", environment=faults.environment
+        ) as program,
+    ):
+        faults.control.set(ACCEPT_ERRNO, error)
+        for _ in range(2):
+            faults.control.set(ACCEPT_FAILURES, 3)
+            reader, writer = await program.connect()
+            writer.write(http_request())
+            assert " 200 " in (await read_message(reader))[0]
+            writer.close()
+            faults.control.set(ACCEPT_FAILURES, 1)
+            assert await send_command(port, b"STATUS") == "SUCCESS\n"
--- a/tests/test_client_timeouts.py
+++ b/tests/test_client_timeouts.py
@@ -8,7 +8,7 @@
 
 from quota_gateway import model
 from quota_gateway.net import client_connection, listener, request_body, request_reader
-from tests.client_helpers import POST, reject
+from tests.client_helpers import POST, on_timer, reject
 from tests.loopback import LoopbackLimiter, ScriptedDecisions, async_test, http_request, read_message
 
 
@@ -105,3 +105,37 @@
         assert not client.discards_input
         client.check_timeouts(began_at + request_reader.HEAD_TIMEOUT + 0.1)
         assert client.discards_input
+
+
+HUGE_POST = http_request("/post?account=00000000b4d65521", b"x", Content_Length="2000000")[:-1]
+LONG_POST = http_request("/post?account=00000000b4d65521", b"x", Content_Length="64000")[:-1]
+
+
+@pytest.mark.parametrize(
+    ("sent", "requests_before"),
+    [
+        (LONG_POST + b"x" * 60_000, 0),
+        (HUGE_POST + b"x" * 1_000_000, 0),
+        (http_request() + b"GET /lookup", 1),
+        (POST + POST[:-1], 1),
+    ],
+    ids=["fast body", "upload", "head behind a request", "body behind a request"],
+)
+@async_test
+async def test_a_client_that_stops_in_the_middle_of_a_request_and_stays_gets_an_error(
+    sent: bytes, requests_before: int
+) -> None:
+    """However fast it began, and whether or not an earlier request of it waits for its answer."""
+    script = ScriptedDecisions(lambda _event: [])
+    async with LoopbackLimiter(script, {}) as limiter:
+        reader, writer = await limiter.connect()
+        writer.write(sent)
+        async with asyncio.timeout(3.0):
+            while not any(client.discards_input for client in limiter.listener.connections):
+                await asyncio.sleep(0.01)
+        for event in (await script.wait_for(model.Request, requests_before))[:requests_before]:
+            script.decide = on_timer([model.Reject(event.id, 0.1)])
+            limiter.dispatcher.dispatch(model.TimerFired(1))
+            assert " 429 " in (await read_message(reader))[0]
+        assert " 408 " in (await read_message(reader))[0]
+        writer.close()
--- /dev/null
+++ b/tests/test_clock_steps.py
@@ -0,0 +1,100 @@
+"""Wall clocks that are stepped: the slow start of endpoints goes by what is told, not by a clock alone."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from scale.stand_ins.discovery import DiscoveryStandIn, EndpointEntry
+from tests.gateway_process import WIRE_SETTINGS, ProcessFaults, Program, config, started
+from tests.loopback import (
+    OK_RESPONSE,
+    ScriptedEndpoint,
+    async_test,
+    http_request,
+    read_message,
+    running_server,
+)
+
+HOUR = 3600.0  # seconds
+REQUEST_GAP = 0.01  # seconds between an answer and the next request
+LEARNING_SECONDS = 2.5  # in which the limiter learns what a warm endpoint completes
+COLD_SECONDS = 1.0
+SERVICE_TIME = 0.005  # seconds; a tenth of the latency objective, which is what is guessed at first
+
+
+def slow_start_config(endpoint: str, discovery: str) -> dict[str, Any]:
+    raw = config(endpoint, discovery)
+    raw["known"] = None
+    contract = {"cold_from": 0.1, "warm_after_s": 10.0, "fall_multiple": 1.5, "fall_s": 1.0}
+    raw["settings"] = WIRE_SETTINGS | {"contract": contract}
+    raw["settings"]["classes"] = [WIRE_SETTINGS["classes"][0] | {"aim_s": 10 * SERVICE_TIME}]
+    raw["settings"]["tariffs"] = [{"name": "basic", "quota_rate": 1e5, "store_size": 1e5}]
+    return raw
+
+
+class SlowEndpoint(ScriptedEndpoint):
+    """Takes ``SERVICE_TIME`` for each request."""
+
+    async def handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            self.requests.append(await read_message(reader))
+            await asyncio.sleep(SERVICE_TIME)
+            writer.write(OK_RESPONSE)
+
+
+async def send_for(program: Program, seconds: float) -> None:
+    """One request after the other."""
+    reader, writer = await program.connect()
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        writer.write(http_request())
+        await read_message(reader)
+        await asyncio.sleep(REQUEST_GAP)
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    ("clock_error", "is_known", "start_error"),
+    [
+        pytest.param(0.0, False, 0.0, id="in step"),
+        pytest.param(HOUR, False, 0.0, id="ahead"),
+        pytest.param(-HOUR, False, 0.0, id="behind"),
+        pytest.param(0.0, True, -12 * HOUR, id="restart back in time"),
+        pytest.param(HOUR, True, 0.0, id="restart, ahead"),
+        pytest.param(0.0, False, -HOUR, id="new, back in time"),
+    ],
+)
+@async_test
+async def test_a_started_endpoint_is_warmed_up_whatever_the_clocks_say(
+    clock_error: float, is_known: bool, start_error: float, tmp_path: Path, faults: ProcessFaults
+) -> None:
+    """The limiter's clock is off when it starts, or that of the machine whose endpoint has just started."""
+    warm = SlowEndpoint()
+    cold = SlowEndpoint()
+    faults.control.step_clock(clock_error)
+    async with (
+        running_server(warm.handle_connection) as warm_address,
+        running_server(cold.handle_connection) as cold_address,
+    ):
+        cold_entry = EndpointEntry("s2", cold_address, zone="a")
+        entries = [EndpointEntry(f"warm-{number}", warm_address, zone="a") for number in range(3)]
+        if is_known:
+            entries.append(replace(cold_entry, started_at_ms=int((time.time() - 10 * HOUR) * 1000)))
+        discovery = DiscoveryStandIn(entries)
+        raw = slow_start_config(warm_address, await discovery.open())
+        async with started(raw, tmp_path, environment=faults.environment) as program:
+            await send_for(program, LEARNING_SECONDS)
+            before = len(warm.requests), len(cold.requests)
+            started_at_ms = int((time.time() + start_error) * 1000)
+            discovery.publish(replace(cold_entry, started_at_ms=started_at_ms))
+            await send_for(program, COLD_SECONDS)
+            sent_to_warm = len(warm.requests) - before[0]
+            sent_to_cold = len(cold.requests) - before[1]
+            assert sent_to_cold < 0.1 * sent_to_warm
+        discovery.close()
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -171,7 +171,7 @@
         addresses = {"listen": self._address, "mgmt": f"127.0.0.1:{admin_port}"}
         folder = self._folder / str(admin_port)
         folder.mkdir()
-        return started(config(endpoint_address) | addresses, folder, self._descriptors, **self._environment)
+        return started(config(endpoint_address) | addresses, folder, self._descriptors, self._environment)
 
 
 async def check_takeover(old: Program, old_port: int, new_port: int) -> None:
--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -22,10 +22,7 @@
         troubles = make_plan(seed, 30.0, 24).troubles
         assert all(trouble.at >= WARM_UP_SECONDS for trouble in troubles)
         assert all(trouble.at + trouble.duration <= 30.0 - QUIET_SECONDS + 1e-9 for trouble in troubles)
-        overlapping += sum(
-            first.at + first.duration > second.at
-            for first, second in pairwise(troubles)
-        )
+        overlapping += sum(first.at + first.duration > second.at for first, second in pairwise(troubles))
     assert overlapping > 100
 
 
