Accept connections ourselves, and only pause where accept fails

Cause: uvloop's servers leave accept to libuv, which on ENFILE and EMFILE takes each waiting connection and closes it unread (its trick with a spare descriptor), and whose other errors close the listening handle without a word. A listening socket that cannot be had for a moment ended the start with code 2. The test of the accept queue keeps the acceptor from seeing the clients, as before.

--- a/quota_gateway/lifecycle.py
+++ b/quota_gateway/lifecycle.py
@@ -314,7 +314,7 @@
     components.dispatcher.abandon_all()
     await components.listener.close(FLUSH_TIMEOUT)
     if components.admin is not None:
-        components.admin.close()
+        await components.admin.close()
     components.process_group.close()
     components.discovery.close()
     components.pool.close()
--- a/quota_gateway/net/admin.py
+++ b/quota_gateway/net/admin.py
@@ -7,10 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from typing import Protocol, cast
 
 from quota_gateway import model
+from quota_gateway.net.acceptor import Acceptor, create_listening_socket
+
+log = logging.getLogger(__name__)
 
 MAX_COMMAND_LENGTH = 256  # bytes, without the line's end
 MAX_CONNECTIONS = 16
@@ -119,14 +123,16 @@
         """``handler`` executes the commands of all connections."""
         self.handler = handler
         self._connections = dict[_AdminConnection, None]()  # the oldest first
-        self._server: asyncio.Server | None = None
+        self._acceptor: Acceptor | None = None
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Listen, and return the host and port bound; raises ``OSError`` where the address is taken."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: _AdminConnection(self), host, port)
-        host, port, *_ = self._server.sockets[0].getsockname()
-        return host, port
+        listening = await create_listening_socket(host, port)
+        self._acceptor = Acceptor(listening, lambda: _AdminConnection(self), self._on_accept_error)
+        return self._acceptor.address
+
+    def _on_accept_error(self, error: OSError) -> None:
+        log.warning("accept failed at the admin address: %s", error)
 
     def connected(self, connection: _AdminConnection) -> None:
         """Add a connection; at the bound the oldest one gives way to it."""
@@ -139,9 +145,9 @@
         """Remove a connection that has ended."""
         self._connections.pop(connection, None)
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        if self._acceptor is not None:
+            await self._acceptor.close()
         for connection in list(self._connections):
             connection.abort()
--- a/quota_gateway/net/listener.py
+++ b/quota_gateway/net/listener.py
@@ -5,12 +5,10 @@
 import asyncio
 import contextlib
 import logging
-import os
 import socket
-from collections.abc import Callable
-from typing import TypeVar
 
 from quota_gateway import model
+from quota_gateway.net.acceptor import Acceptor, create_listening_socket, errno_name
 from quota_gateway.net.client_connection import ClientConnection
 from quota_gateway.net.client_request import RequestHandler
 from quota_gateway.net.client_stats import ClientStats, CloseReason
@@ -18,13 +16,10 @@
 from quota_gateway.net.request_parser import RequestParser
 
 log = logging.getLogger(__name__)
-T = TypeVar("T")
 
-BACKLOG = 1024  # connections in the accept queue
 SCANS_PER_LOG_LINE = 50
 SCAN_INTERVAL = 0.2  # seconds between two scans for idle and slow clients: one timer for all of them
 DESCRIPTOR_WAIT = 0.1  # seconds that the last clients of a closing listener may wait for a descriptor
-DESCRIPTOR_RETRY_INTERVAL = 0.01  # seconds
 # Share of the connection limit. Where more connections have sent data, every response closes its own: clients
 # that ask once and keep their connection for good would use up the limit. It guards as well against leaks in
 # a client's pool. The price is a connect for each request, where that many clients ask all the time.
@@ -56,8 +51,7 @@
         self._scan_timer: asyncio.TimerHandle | None = None
         self._scan_count = 0
         self.connections = dict[ClientConnection, None]()  # in the order of their connecting
-        self._server: asyncio.Server | None = None
-        self._accept_queue: socket.socket | None = None  # the same listening socket, for its last clients
+        self._acceptor: Acceptor | None = None
         self._is_inherited = False
         self._is_empty = asyncio.Event()
 
@@ -68,21 +62,14 @@
 
         With ``beside`` other processes may listen at the same address. Raises OSError.
         """
-        loop = asyncio.get_running_loop()
         self._is_inherited = inherited is not None
-        if inherited is None:
-            self._server = await loop.create_server(
-                self._new_connection, host, port, backlog=BACKLOG, reuse_port=beside or None
-            )
-            # Held from the start: in want of a descriptor there would be none to empty the queue by.
-            self._accept_queue = socket.socket(fileno=os.dup(self._server.sockets[0].fileno()))
-            self._accept_queue.setblocking(False)
-        else:
-            inherited.setblocking(False)
-            self._server = await loop.create_server(self._new_connection, sock=inherited, backlog=BACKLOG)
+        listening = inherited or await create_listening_socket(host, port, reuse_port=beside)
+        self._acceptor = Acceptor(listening, self._new_connection, self._on_accept_error)
         self._scan()
-        address = self._server.sockets[0].getsockname()
-        return address[0], address[1]
+        return self._acceptor.address
+
+    def _on_accept_error(self, error: OSError) -> None:
+        self.stats.accept_errors[errno_name(error)] += 1
 
     def _new_connection(self) -> ClientConnection:
         return ClientConnection(self)
@@ -144,40 +131,10 @@
         Where nobody does, the connections in the accept queue are established already for their clients and
         would be reset with what they have sent: they are taken.
         """
-        server = self._server
-        self._server = None
-        if server is None:
-            return
-        server.close()
-        if self._is_inherited:
-            return
-        assert self._accept_queue is not None
-        with self._accept_queue as accept_queue:
-            try:
-                await self._empty_accept_queue(accept_queue, self.clock() + DESCRIPTOR_WAIT)
-            except BlockingIOError:
-                pass  # it is empty
-            except OSError as error:
-                log.error("the accept queue could not be emptied: %r", error)
-
-    async def _empty_accept_queue(self, accept_queue: socket.socket, deadline: float) -> None:
-        """Take connections until the queue raises BlockingIOError; raises OSError without descriptors."""
-        loop = asyncio.get_running_loop()
-        while True:
-            accepted, _ = await self._retry_without_descriptor(accept_queue.accept, deadline)
-            await loop.connect_accepted_socket(self._new_connection, accepted)
-
-    async def _retry_without_descriptor(self, operation: Callable[[], T], deadline: float) -> T:
-        """Do what needs a descriptor; where none is left, the responses in progress soon free one."""
-        while True:
-            try:
-                return operation()
-            except BlockingIOError:
-                raise
-            except OSError:
-                if self.clock() > deadline:
-                    raise
-            await asyncio.sleep(DESCRIPTOR_RETRY_INTERVAL)
+        acceptor = self._acceptor
+        self._acceptor = None
+        if acceptor is not None:
+            await acceptor.close(None if self._is_inherited else DESCRIPTOR_WAIT)
 
     async def wait_until_empty(self, grace: float) -> None:
         """Wait at most ``grace`` seconds for all connections to end with their responses, or idle."""
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -44,7 +44,7 @@
     try:
         yield await listener.listen("127.0.0.1", 0)
     finally:
-        listener.close()
+        await listener.close()
 
 
 def test_a_command_is_passed_to_the_handler_with_its_endpoint() -> None:
--- a/tests/test_descriptor_limit.py
+++ b/tests/test_descriptor_limit.py
@@ -206,32 +206,29 @@
     monkeypatch.setattr(listener, "DESCRIPTOR_WAIT", 10.0)  # a slow machine must not make it late
 
     async with LoopbackLimiter(ScriptedDecisions(reject), {}) as limiter:
+        acceptor = limiter.listener._acceptor
+        assert acceptor is not None
+        asyncio.get_running_loop().remove_reader(acceptor._listening)  # it has not seen them when it closes
         clients = [socket.create_connection(limiter.address) for _ in range(3)]
-        for client in clients:  # connected, and sent, before the event loop runs again
+        for client in clients:
             client.sendall(http_request())
         limiter.listener.start_draining()
-        assert limiter.listener._server is not None
-        server: asyncio.Server = limiter.listener._server
+        close = acceptor.close
         shortage = ExitStack()
         closing_began = asyncio.Event()
 
-        class ServerAtTheLimit:
-            """Takes the last descriptor in the step in which it closes."""
-
-            sockets = server.sockets
-
-            def close(self) -> None:
-                """Close, and leave no descriptor free."""
-                server.close()
-                shortage.enter_context(no_free_descriptor())
-                closing_began.set()
+        async def close_at_the_limit(drain_time: float | None) -> None:
+            """Leave no descriptor free in the step that closes."""
+            shortage.enter_context(no_free_descriptor())
+            closing_began.set()
+            await close(drain_time)
 
-        limiter.listener._server = ServerAtTheLimit()  # type: ignore[assignment]
+        monkeypatch.setattr(acceptor, "close", close_at_the_limit)
         closing = asyncio.create_task(limiter.listener.close(1000))
         await closing_began.wait()
         for _ in range(20):
             await asyncio.sleep(0)
-        assert len(limiter.listener.connections) < len(clients)  # the event loop had accepted one before
+        assert len(limiter.listener.connections) < len(clients)
         shortage.close()
         for client in clients:
             reader, writer = await asyncio.open_connection(sock=client)
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -86,7 +86,7 @@
         assert b"close" not in head
         limiter.listener.start_draining()
         closing = asyncio.create_task(limiter.listener.close(1000))
-        while limiter.listener._server is not None:
+        while limiter.listener._acceptor is not None:
             await asyncio.sleep(0)
         finish.set()
         assert len(await reader.read()) == 100_000
--- a/tests/test_wire_formats.py
+++ b/tests/test_wire_formats.py
@@ -213,7 +213,7 @@
     assert await call(b"RESTORE s1\n") == "SUCCESS\n"
     assert await call(b"SUSPEND s9\n") == "FAILURE\n"
     assert await call(b"METRICS\n") == FIGURES_TEXT.replace("skipped_servers=1", "skipped_servers=0")
-    mgmt.close()
+    await mgmt.close()
     upstream.close()
 
 
