Time a client that stops in a request by its last byte, also behind another request

Cause: a body was timed by its mean rate (RequestBody.is_overdue, is_upload_stalled), so that a fast beginning bought time: 60 kB of 64 kB sent at once were waited for 5 s, 1 MB of an upload two minutes; and the time of a request behind another one began with the response before it (RequestReader.on_message_begin), and was not checked at all until then. Change: 2.05 s without a byte end a body or an upload that is read; each request keeps its own beginning, and is checked while responses before it are owed. The test of a late head sets that beginning in place of the connection's.

--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -191,13 +191,12 @@
             return
         if self.reader.body.upload is not None:
             self._check_upload(now)
+        elif self.reader.in_message and not self.reading_paused and self.reader.is_overdue(now):
+            self.reject(408)  # also behind requests that wait for their responses
         elif self.request_queue:
             self._check_response(now)
-        elif not self.reader.in_message:
-            if age > IDLE_TIMEOUT or self.listener.closes_idle_connections:
-                self.closer.close_idle()
-        elif self.reader.is_overdue(now, age):
-            self.reject(408)
+        elif not self.reader.in_message and (age > IDLE_TIMEOUT or self.listener.closes_idle_connections):
+            self.closer.close_idle()
 
     def _check_upload(self, now: float) -> None:
         if self.reading_paused:
--- a/quota_gateway/net/request_body.py
+++ b/quota_gateway/net/request_body.py
@@ -14,6 +14,7 @@
     from quota_gateway.net.client_connection import ClientConnection
 
 BODY_TIMEOUT = 2.05  # seconds in which a body must be complete, unless it keeps ``MIN_BODY_RATE``
+SILENCE_TIMEOUT = 2.05  # seconds without a byte: who stops in a body and stays is owed an error within 3 s
 MIN_BODY_RATE = 8192  # bytes a second
 MAX_BODY_TIME = 5.0  # seconds that a collected body may take even at that rate
 
@@ -27,6 +28,7 @@
     __slots__ = (
         "_chunks",
         "_connection",
+        "_last_byte_at",
         "_rate_base_size",
         "_resume_deferred",
         "paused",
@@ -40,6 +42,7 @@
         self._connection = connection
         self._chunks = list[bytes]()
         self._rate_base_size = 0  # what had been received at ``started_at``
+        self._last_byte_at = 0.0  # or when the upload was last paused or resumed
         self._resume_deferred = False  # the endpoint takes more, once the client is known to be there
         self.paused = False  # by an endpoint that takes no more for now
         self.size = 0  # bytes received
@@ -52,10 +55,12 @@
         self._rate_base_size = 0
         self.size = 0
         self.started_at = now
+        self._last_byte_at = now
 
     def append(self, data: bytes) -> None:
         """Take a chunk; raises BadRequestError where an upload exceeds its limit."""
         self.size += len(data)
+        self._last_byte_at = self._connection.listener.clock()
         if self.upload is None:
             self._chunks.append(data)
             return
@@ -100,18 +105,28 @@
 
         A late head leaves its body less time: a bad client must be answered in a time from its connecting.
         """
+        if self._is_silent(now):
+            return True
         age = now - self.started_at
         if age <= BODY_TIMEOUT and not late_head:
             return False
         return age > MAX_BODY_TIME or self.size < MIN_BODY_RATE * age
 
     def is_upload_stalled(self, now: float) -> bool:
-        """Whether an upload is below the least rate, other than because of its endpoint."""
+        """Whether an upload has stopped or is below the least rate, other than because of its endpoint."""
+        if self.paused:
+            return False
+        if self._is_silent(now):
+            return True
         age = now - self.started_at
-        if self.paused or age <= BODY_TIMEOUT:
+        if age <= BODY_TIMEOUT:
             return False
         return self.size - self._rate_base_size < MIN_BODY_RATE * age
 
+    def _is_silent(self, now: float) -> bool:
+        """Whether nothing has come for long, however much came before."""
+        return now - self._last_byte_at > SILENCE_TIMEOUT
+
     def set_paused(self, paused: bool) -> None:
         """Stop or resume reading the upload, as its endpoint takes it."""
         self._resume_deferred = False
@@ -122,6 +137,7 @@
             return
         self.paused = paused
         self.started_at = now
+        self._last_byte_at = now
         self._rate_base_size = self.size
         self._connection.update_reading()
 
--- a/quota_gateway/net/request_reader.py
+++ b/quota_gateway/net/request_reader.py
@@ -30,6 +30,7 @@
     """
 
     __slots__ = (
+        "_began_at",
         "_connection",
         "_has_read_request",
         "_parser",
@@ -43,6 +44,7 @@
     def __init__(self, connection: ClientConnection) -> None:
         """Create the reader of a new connection."""
         self._connection = connection
+        self._began_at = 0.0  # when the request that is read now began
         self._has_read_request = False  # whether any request has been complete
         self.body = RequestBody(connection)
         self.head = RequestHead()
@@ -83,9 +85,9 @@
         else:
             self._connection.reject(400)
 
-    def is_overdue(self, now: float, age: float) -> bool:
-        """Whether the request takes too long; ``age`` is the time in seconds since it began."""
-        late_head = age > HEAD_TIMEOUT
+    def is_overdue(self, now: float) -> bool:
+        """Whether the request that is read now takes too long."""
+        late_head = now - self._began_at > HEAD_TIMEOUT
         if not self.head.complete:
             return late_head
         return self.body.is_overdue(now, late_head)
@@ -103,8 +105,11 @@
         self.in_message = True
         connection = self._connection
         # The first request's time starts with the connection, as it does for a client that sends nothing.
+        self._began_at = (
+            connection.listener.clock() if self._has_read_request else connection.phase_started_at
+        )
         if not connection.request_queue and self._has_read_request:
-            connection.phase_started_at = connection.listener.clock()
+            connection.phase_started_at = self._began_at
         elif len(connection.request_queue) >= MAX_PIPELINE:
             # Reading stops at this many, but one read may bring hundreds.
             raise BadRequestError(400, "too many requests at once")
--- a/tests/test_client_timeouts.py
+++ b/tests/test_client_timeouts.py
@@ -9,7 +9,15 @@
 from quota_gateway import model
 from quota_gateway.net import client_connection, listener, request_body, request_reader
 from tests.client_helpers import POST, on_timer, reject
-from tests.loopback import LoopbackLimiter, ScriptedDecisions, async_test, http_request, read_message
+from tests.loopback import (
+    LoopbackLimiter,
+    ScriptedDecisions,
+    async_test,
+    forward_to_s1,
+    http_request,
+    read_message,
+    running_server,
+)
 
 
 @pytest.fixture
@@ -78,7 +86,7 @@
             while not client.reader.head.complete:
                 await asyncio.sleep(0)
             began_at = client.reader.body.started_at - 2.3  # the head took so long
-            client.phase_started_at = began_at
+            client.reader._began_at = began_at
             client.check_timeouts(began_at + request_reader.HEAD_TIMEOUT - 0.1)
             assert not client.discards_input
             client.check_timeouts(began_at + request_reader.HEAD_TIMEOUT + 0.1)
@@ -126,8 +134,20 @@
     sent: bytes, requests_before: int
 ) -> None:
     """However fast it began, and whether or not an earlier request of it waits for its answer."""
-    script = ScriptedDecisions(lambda _event: [])
-    async with LoopbackLimiter(script, {}) as limiter:
+
+    def forward_uploads(event: model.Event) -> list[model.Action]:
+        is_upload = isinstance(event, model.Request) and event.uploading
+        return forward_to_s1(event) if is_upload else []
+
+    async def take_all(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+        while await reader.read(65536):
+            pass
+
+    script = ScriptedDecisions(forward_uploads)
+    async with (
+        running_server(take_all) as address,
+        LoopbackLimiter(script, {"s1": address}) as limiter,
+    ):
         reader, writer = await limiter.connect()
         writer.write(sent)
         async with asyncio.timeout(3.0):
