Warm up what has started whatever wall clocks say, and hand times over by the monotonic one

Cause: the slow start trusted two wall clocks. EndpointSet._apply_endpoint took an incarnation for warm if its start time lay long ago by this machine's clock, EndpointState.update took only a later start for a restart, and a handover file (handover_codec) carried one process's Unix times to another that may have started behind a step of the clock. Checked and ruled out: deadlines, windows and timers (monotonic), the decisions' own clock within one process. Change: another start time is another incarnation. What is news cannot have started much before discovery was last heard of (EndpointUpdate.seconds_since_contact, from the watch): a start that disagrees counts as now. For the first list, where nothing is known of contact, the latest start bounds how far this clock is behind. The handover file names the writer's clock offset and the reader shifts its times; a warm-up that began here later outlives a handover. The wire-format test has the added key; older files without it are read as before. Left: a limiter that starts with its clock ahead cannot tell that an endpoint of its first list is cold.

--- a/quota_gateway/decisions/endpoint_set.py
+++ b/quota_gateway/decisions/endpoint_set.py
@@ -1,5 +1,6 @@
 """The endpoints by name, the hash ring of those in use, and the subset of it that this gateway keeps to."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import ceil
@@ -14,6 +15,7 @@
 MIN_SUBSET = 8  # a sparse gateway keeps to few: one of hundreds meets each once a minute
 SUBSET_MULTIPLE = 5  # times its even part of the ring
 RATE_WEIGHT = 0.3  # of the newest interval in an endpoint's work rate
+MAX_LIST_DELAY = 6.0  # seconds from a change to its news, at most
 CHECK_TIME = 1.5 * INTERVAL  # seconds for which an endpoint stays ejected while its health is checked
 
 
@@ -27,6 +29,7 @@
     subset: list[EndpointState] = field(default_factory=list)
     suspended: frozenset[str] = frozenset()  # by operators
     has_list: bool = False  # whether a list has come
+    clock_lag: float = 0.0  # seconds that this machine's wall clock was behind at the start, at least
 
     def listed(self) -> list[EndpointState]:
         """Endpoints that the list names."""
@@ -38,19 +41,39 @@
             for state in self.by_name.values():
                 state.available = False
                 state.removed = True
+        if not math.isfinite(update.seconds_since_contact):
+            self._estimate_clock_lag(now, update.endpoints)
         for endpoint in update.endpoints:
-            self._apply_endpoint(now, endpoint)
+            self._apply_endpoint(now, endpoint, update.seconds_since_contact)
         self.has_list = True
         self.rebuild_hash_ring(now)
 
-    def _apply_endpoint(self, now: float, endpoint: model.Endpoint) -> None:
+    def _estimate_clock_lag(self, now: float, endpoints: Iterable[model.Endpoint]) -> None:
+        """What has started already has not started in the future: then this machine's clock is behind."""
+        last_start = max((endpoint.started_at for endpoint in endpoints), default=0.0)
+        self.clock_lag = max(self.clock_lag, last_start - now)
+
+    def _age(self, now: float, endpoint: model.Endpoint, seconds_since_contact: float) -> float:
+        """Seconds since the start of an incarnation that is met now, by whichever clock can be trusted.
+
+        Wall clocks may be off by an hour. An incarnation that is news is not much older than the time since
+        discovery was last heard of: a start that disagrees is of a clock that is off, and counts as just now.
+        """
+        age = now - endpoint.started_at
+        if not math.isfinite(seconds_since_contact):
+            return age + self.clock_lag
+        most = seconds_since_contact + max(MAX_LIST_DELAY, self.context.settings.warm_up_time)
+        return age if 0 <= age <= most else 0.0
+
+    def _apply_endpoint(self, now: float, endpoint: model.Endpoint, seconds_since_contact: float) -> None:
         state = self.by_name.get(endpoint.name)
         if state is None:
             state = self.by_name[endpoint.name] = EndpointState(endpoint)
         is_restart = state.update(endpoint)
-        is_young = now - endpoint.started_at < self.context.settings.warm_up_time
+        age = self._age(now, endpoint, seconds_since_contact)
+        is_young = age < self.context.settings.warm_up_time
         if state.available and is_restart and is_young:
-            state.start_warming_up(endpoint.started_at)
+            state.start_warming_up(now - age)
             state.start_allowance(now)
             self.context.actions.append(model.Log(f"{state.label}: slow start"))
             state.ejected_until = min(state.ejected_until, now)
--- a/quota_gateway/lifecycle.py
+++ b/quota_gateway/lifecycle.py
@@ -19,7 +19,7 @@
 from quota_gateway.net.connection_pool import ConnectionPool
 from quota_gateway.net.counter_client import CounterClient
 from quota_gateway.net.discovery_client import DiscoveryClient
-from quota_gateway.net.dispatcher import Dispatcher, unix_clock
+from quota_gateway.net.dispatcher import Dispatcher, unix_clock, unix_offset
 from quota_gateway.net.listener import ClientListener
 from quota_gateway.net.metrics import Metrics
 from quota_gateway.net.process_group import ProcessGroup
@@ -107,9 +107,11 @@
     """All parts, connected with each other; none has a socket yet."""
     settings = config.settings
     timing = config.timing
-    clock = unix_clock()
+    clock_offset = unix_offset()
+    clock = unix_clock(clock_offset)
     # Without an admin address no endpoint can be suspended, and no second process starts.
-    process_group = ProcessGroup(environment.shared_directory if config.admin else None, config.name)
+    shared_directory = environment.shared_directory if config.admin else None
+    process_group = ProcessGroup(shared_directory, config.name, clock_offset)
     metrics = Metrics(each.name for each in settings.classes)
     limits = connection_limits(config.max_sockets, process_count=1)
     pool = ConnectionPool(clock, timing.connect_timeout, timing.idle_timeout, limits.endpoints, metrics)
--- a/quota_gateway/model/events.py
+++ b/quota_gateway/model/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
@@ -46,6 +47,9 @@
 
     endpoints: tuple[Endpoint, ...]
     complete: bool
+    # Seconds since discovery was last heard of: what is new in it has not changed much longer ago. Infinite
+    # where that is not known, as for the first list.
+    seconds_since_contact: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/quota_gateway/net/discovery_client.py
+++ b/quota_gateway/net/discovery_client.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from quota_gateway.net.backoff import MAX_POLL_INTERVAL
-from quota_gateway.net.endpoint_watch import SILENCE_TIMEOUT, EndpointWatcher
+from quota_gateway.net.endpoint_watch import SILENCE_TIMEOUT, DiscoveryContact, EndpointWatcher
 from quota_gateway.net.watch_event import WatchEvent
 
 
@@ -28,6 +28,7 @@
         self._rng = rng or Random()
         self._answer_timeout = answer_timeout
         self._max_poll_interval = max_poll_interval
+        self._contact = DiscoveryContact()
         self._address: tuple[str, int] | None = None
         self._established: asyncio.Task[None] | None = None  # the watch that sent the last event
         self._candidate: asyncio.Task[None] | None = None  # the watch at the newest address, before its first
@@ -55,6 +56,7 @@
             rng=self._rng,
             answer_timeout=self._answer_timeout,
             max_poll_interval=self._max_poll_interval,
+            contact=self._contact,
         )
         task = self._candidate = asyncio.get_running_loop().create_task(watcher.follow())
 
--- a/quota_gateway/net/dispatcher.py
+++ b/quota_gateway/net/dispatcher.py
@@ -31,10 +31,18 @@
 TIMER_RETRY_DELAY = 1.0  # seconds until a timer fires again after the decisions have failed on it
 
 
-def unix_clock() -> Callable[[], float]:
-    """A clock of Unix time that never jumps: endpoints report their start in Unix time."""
-    offset = time.time() - time.monotonic()
-    return lambda: offset + time.monotonic()
+def unix_offset() -> float:
+    """Seconds of Unix time less those of the monotonic clock, now."""
+    return time.time() - time.monotonic()
+
+
+def unix_clock(offset: float | None = None) -> Callable[[], float]:
+    """A clock of Unix time that never jumps: endpoints report their start in Unix time.
+
+    Without an ``offset`` it has the one of now.
+    """
+    fixed_offset = unix_offset() if offset is None else offset
+    return lambda: fixed_offset + time.monotonic()
 
 
 class Decisions(Protocol):
--- a/quota_gateway/net/endpoint_watch.py
+++ b/quota_gateway/net/endpoint_watch.py
@@ -8,6 +8,7 @@
 import math
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any
 
@@ -35,6 +36,22 @@
 HTTP_SERVER_ERROR = 500  # the lowest of its class
 
 
+class DiscoveryContact:
+    """When discovery was last heard of, at whatever address."""
+
+    __slots__ = ("_last_at",)
+
+    def __init__(self) -> None:
+        """Begin without contact."""
+        self._last_at = -math.inf  # seconds of the event loop's clock
+
+    def renew(self, now: float) -> float:
+        """A line has come; gives the seconds since the one before."""
+        elapsed = now - self._last_at
+        self._last_at = now
+        return elapsed
+
+
 class _WatchRequest:
     """One request to discovery, from its connect to the end of the event stream that answers it.
 
@@ -116,6 +133,7 @@
     def _on_line(self, line: bytes) -> None:
         self._extend_deadline()
         self.last_line_at = self._loop.time()
+        seconds_since_contact = self._watcher.contact.renew(self.last_line_at)
         if not line:
             return
         try:
@@ -127,7 +145,8 @@
             self._watcher.on_malformed_line(error)
         else:
             self.received_event = True
-            self._watcher.on_event(event, resumable=not self._event_lost)
+            update = replace(event.update, seconds_since_contact=seconds_since_contact)
+            self._watcher.on_event(replace(event, update=update), resumable=not self._event_lost)
 
 
 class _OutcomeLog:
@@ -170,6 +189,7 @@
         rng: Random | None = None,
         answer_timeout: float = SILENCE_TIMEOUT,
         max_poll_interval: float = MAX_POLL_INTERVAL,
+        contact: DiscoveryContact | None = None,
     ) -> None:
         """Prepare a watch from a version on or, without one, from the complete list.
 
@@ -179,6 +199,7 @@
         self.port = port
         self.since_version = since_version
         self.answer_timeout = answer_timeout
+        self.contact = contact or DiscoveryContact()
         self.last_restart_at = -math.inf  # seconds of the event loop's clock: restart for a malformed line
         self._on_event = on_event
         self._client_count = client_count
--- a/quota_gateway/net/handover_codec.py
+++ b/quota_gateway/net/handover_codec.py
@@ -27,10 +27,11 @@
         self.expected = expected
 
 
-def encode_handover(state: model.HandoverState) -> str:
-    """The text of the handover file."""
+def encode_handover(state: model.HandoverState, clock_offset: float) -> str:
+    """The text of the handover file; ``clock_offset``: this process's Unix time less its monotonic time."""
     return json.dumps(
         {
+            "clock": clock_offset,
             "done_rate": state.completion_rate,
             "mean": state.mean_work,
             "units": state.mean_units,
@@ -67,15 +68,20 @@
     }
 
 
-def decode_handover(data: bytes) -> model.HandoverState:
-    """The state that a handover file holds; raises ``HandoverFormatError`` where it is malformed."""
+def decode_handover(data: bytes, clock_offset: float) -> model.HandoverState:
+    """The state that a handover file holds; raises ``HandoverFormatError`` where it is malformed.
+
+    The wall clock may have been stepped between the starts of the two processes, which have the monotonic
+    clock in common: times are brought to the Unix time of this process, whose ``clock_offset`` is given.
+    """
     try:
         document = json.loads(data)
     except ValueError as error:
         raise HandoverFormatError(location="file", found=str(error), expected="JSON") from None
     root = _JsonObject(document, "file")
-    endpoints = tuple(_decode_endpoint(endpoint) for endpoint in root.objects("servers"))
-    accounts = tuple(_decode_account(account) for account in root.objects("accounts"))
+    shift = clock_offset - root.number("clock") if root.has("clock") else 0.0  # older processes write none
+    endpoints = tuple(_decode_endpoint(endpoint, shift) for endpoint in root.objects("servers"))
+    accounts = tuple(_decode_account(account, shift) for account in root.objects("accounts"))
     return model.HandoverState(
         base_latencies=root.numbers_by_name("bases"),
         completion_rate=max(0.0, root.number("done_rate")),
@@ -86,11 +92,12 @@
     )
 
 
-def _decode_endpoint(endpoint: _JsonObject) -> model.EndpointHandover:
+def _decode_endpoint(endpoint: _JsonObject, shift: float) -> model.EndpointHandover:
+    warming_since = endpoint.optional_number("cold_at")
     return model.EndpointHandover(
         name=endpoint.text("name"),
         started_at=endpoint.number("born"),
-        warming_since=endpoint.optional_number("cold_at"),
+        warming_since=None if warming_since is None else warming_since + shift,
         responses=int(endpoint.number("answers")),
         mean_slowdown=endpoint.number("pace"),
         slowdown=endpoint.number("slow"),
@@ -98,7 +105,7 @@
     )
 
 
-def _decode_account(account: _JsonObject) -> model.AccountHandover:
+def _decode_account(account: _JsonObject, shift: float) -> model.AccountHandover:
     return model.AccountHandover(
         plan=account.text("plan"),
         account=account.text("account"),
@@ -107,7 +114,7 @@
         guaranteed_tokens=account.number("floor"),
         ceiling_tokens=max(0.0, account.number("ceiling")),
         remote_usage_rate=account.number("others"),
-        last_synchronised=account.number("synced"),
+        last_synchronised=account.number("synced") + shift,
         counter_total=account.optional_number("total"),
     )
 
@@ -121,6 +128,10 @@
         self._members = members
         self._location = location
 
+    def has(self, key: str) -> bool:
+        """Whether there is a value under a key."""
+        return isinstance(self._members, dict) and key in self._members
+
     def text(self, key: str) -> str:
         """The value as text, whatever its type."""
         return str(self._value(key))
--- a/quota_gateway/net/process_group.py
+++ b/quota_gateway/net/process_group.py
@@ -34,8 +34,12 @@
 class ProcessGroup:
     """This process's membership in the group. Without a folder that can be written it is alone."""
 
-    def __init__(self, folder: str | None, name: str) -> None:
-        """``folder`` is $TMPDIR, or None for a process that shares nothing; ``name`` is the limiter's."""
+    def __init__(self, folder: str | None, name: str, clock_offset: float = 0.0) -> None:
+        """``folder`` is $TMPDIR, or None for a process that shares nothing; ``name`` is the limiter's.
+
+        ``clock_offset`` is this process's Unix time less its monotonic time.
+        """
+        self._clock_offset = clock_offset
         self._folder: Path | None = None
         self._process_file = ""
         self._liveness_lock: FileLock | None = None
@@ -107,9 +111,8 @@
         self._successors.add(successor)
         temporary = self._folder / f"{HANDOVER_FILE_PREFIX}{self._process_file}.new"
         try:
-            replace_file(
-                self._handover_path(self._folder, successor), encode_handover(state), temporary=temporary
-            )
+            text = encode_handover(state, self._clock_offset)
+            replace_file(self._handover_path(self._folder, successor), text, temporary=temporary)
         except OSError as error:
             log.warning("the handover state could not be written: %s", error)
 
@@ -122,7 +125,7 @@
             with path.open("rb") as file:
                 data = file.read(MAX_HANDOVER_SIZE)
             path.unlink()  # before it is decoded: whatever it holds, it is read once
-            return decode_handover(data)
+            return decode_handover(data, self._clock_offset)
         except FileNotFoundError:
             return None
         except (OSError, HandoverFormatError) as error:
--- a/quota_gateway/state/endpoint.py
+++ b/quota_gateway/state/endpoint.py
@@ -10,7 +10,7 @@
 
 # Work below this is what is left of sums of floating numbers: a half-open endpoint must not seem to have any.
 NO_WORK = 1e-9  # seconds
-CLOCK_MARGIN = 1e-6  # seconds by which a start must be later to be another one
+CLOCK_MARGIN = 1e-6  # seconds by which starts must differ to be those of two incarnations
 
 
 @dataclass(slots=True, eq=False)
@@ -49,13 +49,17 @@
         return f"endpoint {self.endpoint.name} (started {self.endpoint.started_at:.3f})"
 
     def update(self, endpoint: Endpoint) -> bool:
-        """Take an entry of the endpoint list; gives whether it is a later incarnation than the known one."""
+        """Take an entry of the endpoint list; gives whether it is another incarnation than the known one.
+
+        Its start may be earlier: the clock of its machine may have been stepped back.
+        """
         is_known = self.endpoint is not endpoint
-        is_later = endpoint.started_at > (self.endpoint.started_at + CLOCK_MARGIN if is_known else 0.0)
+        known_start = self.endpoint.started_at if is_known else 0.0
+        is_other = endpoint.started_at > 0 and abs(endpoint.started_at - known_start) > CLOCK_MARGIN
         self.endpoint = endpoint
         self.available = endpoint.health is EndpointHealth.HEALTHY
         self.removed = endpoint.health is EndpointHealth.REMOVED
-        return is_later
+        return is_other
 
     def end_work(self, work: float) -> None:
         """Work in flight has ended, however it did."""
@@ -128,7 +132,9 @@
 
     def take_over(self, now: float, handover: EndpointHandover) -> None:
         """Take what another process knows of the same incarnation."""
-        self.warming_since = handover.warming_since
+        # A warm-up that began here later, as by a restore, is news that the other process did not have.
+        if self.warming_since is None or (handover.warming_since or 0.0) > self.warming_since:
+            self.warming_since = handover.warming_since
         self.responses = handover.responses
         self.mean_slowdown = handover.mean_slowdown
         self.slowdown = handover.slowdown
--- a/tests/test_handover_codec.py
+++ b/tests/test_handover_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -21,19 +22,19 @@
 
 
 def document() -> dict[str, Any]:
-    decoded: dict[str, Any] = json.loads(encode_handover(STATE))
+    decoded: dict[str, Any] = json.loads(encode_handover(STATE, 0.0))
     return decoded
 
 
 def test_a_state_is_decoded_as_it_was_encoded() -> None:
-    assert decode_handover(encode_handover(STATE).encode()) == STATE
+    assert decode_handover(encode_handover(STATE, 0.0).encode(), 0.0) == STATE
 
 
 def test_numbers_out_of_range_are_clamped() -> None:
     raw = document()
     raw |= {"done_rate": -1, "mean": -2.5, "units": -3}
     raw["accounts"][0] |= {"gateways": 0, "ceiling": -0.5}
-    state = decode_handover(json.dumps(raw).encode())
+    state = decode_handover(json.dumps(raw).encode(), 0.0)
     assert (state.completion_rate, state.mean_work, state.mean_units) == (0.0, 0.0, 0.0)
     assert state.accounts[0].serving_gateways == 1
     assert state.accounts[0].ceiling_tokens == 0.0
@@ -55,7 +56,7 @@
 )
 def test_a_malformed_file_is_named_with_its_place(data: bytes, location: str, expected: str) -> None:
     with pytest.raises(HandoverFormatError) as caught:
-        decode_handover(data)
+        decode_handover(data, 0.0)
     assert caught.value.location == location
     assert caught.value.expected == expected
     assert str(caught.value) == f"{location}: expected {expected}, found {caught.value.found}"
@@ -66,7 +67,23 @@
     raw = document()
     raw["servers"][0]["born"] = value
     with pytest.raises(HandoverFormatError) as caught:
-        decode_handover(json.dumps(raw).encode())
+        decode_handover(json.dumps(raw).encode(), 0.0)
     assert caught.value.location == "file.servers[0].born"
     assert caught.value.found == repr(value)
     assert caught.value.expected == "a finite number"
+
+
+def test_times_are_brought_to_the_clock_of_the_process_that_reads() -> None:
+    """The wall clock was stepped an hour forward between the starts of the two processes."""
+    warming = model.EndpointHandover("s0", 1.5, 100.0, 3, 1.0, 1.1, 0.2)
+    text = encode_handover(replace(STATE, endpoints=(warming,)), clock_offset=50.0)
+    state = decode_handover(text.encode(), clock_offset=3650.0)
+    assert state.endpoints[0].warming_since == 3700.0
+    assert state.endpoints[0].started_at == 1.5  # as discovery tells it to both
+    assert state.accounts[0].last_synchronised == 3607.0
+
+
+def test_the_file_of_an_older_process_has_no_clock() -> None:
+    raw = document()
+    del raw["clock"]
+    assert decode_handover(json.dumps(raw).encode(), clock_offset=3600.0) == STATE
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -7,6 +7,7 @@
 
 from quota_gateway import model
 from quota_gateway.decisions.gateway import Gateway
+from quota_gateway.state import EndpointState
 from tests.simulation import (
     GatewaySimulation,
     endpoint_list,
@@ -153,3 +154,33 @@
         requests[slowdown], gateway = run_with_warming_endpoint(slowdown)
         assert gateway.endpoints.by_name["warming"].warming_since is not None
     assert 0 < requests[5.0] < 20 and requests[1.0] > 70, requests  # by age alone it would be 49
+
+
+def handed_over(warming_since: float | None) -> model.EndpointHandover:
+    """What another process knows of the endpoint."""
+    return model.EndpointHandover("new", 1.0, warming_since, 0, 0.0, 0.0, 0.0)
+
+
+def test_a_warm_up_that_began_here_later_outlives_a_handover() -> None:
+    """A restore reached this process before the state that the other one wrote without knowing of it."""
+    state = EndpointState(model.Endpoint("new", model.EndpointHealth.HEALTHY, "a", started_at=1.0))
+    state.restore(100.0)
+    for older in (None, 90.0):
+        state.take_over(100.1, handed_over(older))
+        assert state.warming_since == 100.0
+    state.take_over(100.2, handed_over(100.1))
+    assert state.warming_since == 100.1
+
+
+def test_a_limiter_whose_clock_is_behind_does_not_take_all_endpoints_for_cold() -> None:
+    """The first list is the only clock that it has to compare with; nothing starts in the future."""
+    simulation = GatewaySimulation(make_settings(), now=100.0)
+    starts = {"old": 3000.0, "young": 3695.0}
+    endpoints = tuple(
+        model.Endpoint(name, model.EndpointHealth.HEALTHY, "a", started_at=started_at)
+        for name, started_at in starts.items()
+    )
+    simulation.feed(model.EndpointUpdate(endpoints, True))
+    states = simulation.gateway.endpoints.by_name
+    assert states["old"].warming_since is None
+    assert states["young"].warming_since == 100.0
--- a/tests/test_wire_formats.py
+++ b/tests/test_wire_formats.py
@@ -44,7 +44,8 @@
 
 ROOT = Path(__file__).parent.parent
 OTHER = "process-31-0a1b2c3d"  # the file of a process of another version
-NOTES_TEXT = """{"done_rate": 0.5, "mean": 0.125, "units": 2.5, "bases": {"read": 0.04, "write": 0.08},
+NOTES_TEXT = """{"clock": 0.0,
+ "done_rate": 0.5, "mean": 0.125, "units": 2.5, "bases": {"read": 0.04, "write": 0.08},
  "servers": [
   {"name": "s0", "born": 1.5, "cold_at": null, "answers": 3, "pace": 1.25, "slow": 1.125, "rate": 0.2},
   {"name": "s1", "born": 2.5, "cold_at": 9.5, "answers": 4, "pace": 1.75, "slow": 1.375, "rate": 0.3}],
