--- a/tests/test_process_group.py
+++ b/tests/test_process_group.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import errno
+import fcntl
+import os
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -162,3 +166,31 @@
     assert fourth.read_handover() is None
     third.close()
     fourth.close()
+
+
+def failing_call(error: int) -> Callable[..., Any]:
+    """A call that fails as the system would let it."""
+
+    def fail(*_args: object, **_options: object) -> None:
+        raise OSError(error, os.strerror(error))
+
+    return fail
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.EIO, errno.ENOLCK])
+@pytest.mark.parametrize("owner_and_name", [(os, "open"), (fcntl, "flock"), (Path, "iterdir")], ids=str)
+def test_a_process_that_cannot_be_looked_at_still_counts(
+    error: int,
+    owner_and_name: tuple[object, str],
+    group: ProcessGroup,
+    successor: ProcessGroup,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An error is not the news that nobody is there: both would use the whole of every ceiling."""
+    assert group.count_processes() == 2
+    with monkeypatch.context() as patch:
+        patch.setattr(*owner_and_name, failing_call(error))
+        assert group.count_processes() == 2
+    assert group.count_processes() == 2
+    successor.close()
+    assert group.count_processes() == 1
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -5,7 +5,8 @@
 import asyncio
 import signal
 import socket
-from contextlib import AbstractAsyncContextManager
+from collections.abc import Iterator
+from contextlib import AbstractAsyncContextManager, contextmanager
 from pathlib import Path
 
 import pytest
@@ -13,10 +14,11 @@
 from quota_gateway import model
 from quota_gateway.decisions.gateway import Gateway
 from quota_gateway.lifecycle import connection_limits
+from quota_gateway.net.shared_files import FileLock
 from quota_gateway.state import Account
 from tests.admin_client import fetch_metrics, send_command
 from tests.gateway_process import Program, config, free_port, started
-from tests.loopback import async_test, http_request, read_message, running_server
+from tests.loopback import ScriptedEndpoint, async_test, http_request, read_message, running_server
 from tests.simulation import GatewaySimulation, endpoint_list, make_request, make_settings
 
 STEP = 0.05  # seconds
@@ -222,3 +224,32 @@
                 await check_last_response(reader)
                 assert await old.process.wait() == 0
                 await check_service(new, new_port)
+
+
+@contextmanager
+def process_that_does_not_accept(folder: Path) -> Iterator[None]:
+    """Another process of the limiter that has joined, and does not accept clients: not yet, or no more."""
+    (group_folder,) = folder.glob("cypresspulley-*")
+    with FileLock(group_folder / "process-1-00000000", blocking=False) as lock:
+        assert lock.acquired
+        yield
+
+
+@async_test
+async def test_a_process_that_ends_accepts_clients_while_no_other_one_does(tmp_path: Path) -> None:
+    origin = ScriptedEndpoint()
+    port = free_port()
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        deployment = Deployment(tmp_path, listener, inherited=False)
+    async with (
+        running_server(origin.handle_connection) as address,
+        deployment.start(address, port) as program,
+    ):
+        with process_that_does_not_accept(tmp_path):
+            program.process.send_signal(signal.SIGTERM)
+            while await send_command(port, b"STATUS") == "SUCCESS\n":
+                pass
+            reader, writer = await program.connect()  # clients cannot know yet
+            writer.write(http_request())
+            assert " 200 " in (await read_message(reader))[0]
+            assert await program.process.wait() == 0
