Let no error of the shared folder pass for news, and hand accepting only to one that accepts

Cause: ProcessGroup._other_processes gave what it had found before an error, so that two processes each used the whole of every ceiling; a process that could not join (or lock: it looped for ever) never did; SuspensionFile.update kept a command that it could not write in memory alone, where the next read of the file dropped it, and the yes was given; a failing flock was ignored, a blocking one could wait for a stopped process; _drain took any process for one that accepts. Change: what cannot be looked at counts as running; joining, suspensions and handovers that could not be written are tried again at each poll; a command holds here at once and its reply waits up to 0.7 s for the file, then is FAILURE; a start waits up to 4 s for suspensions that cannot be read; processes that accept hold a lock of their own (accepting-...); a poll follows a stall before the next request; files of killed processes are removed; one suspension too many is refused and lifts none; a handover that cannot be removed is read once; leaving never fails. The test of the lock file holds that nothing waits for it in the event loop and that the change is written behind it.

--- a/quota_gateway/lifecycle.py
+++ b/quota_gateway/lifecycle.py
@@ -36,6 +36,8 @@
 KILL_GRACE = 0.7  # seconds
 MAX_DEADLINE = 3.0  # seconds; also where the settings hold no deadline
 FLUSH_TIMEOUT = 0.15  # seconds to write the responses to what is open even when the drain has timed out
+SUSPENSIONS_TIMEOUT = 4.0  # seconds that a start waits for a file that cannot be read; it is owed 6 s after
+SUSPENSIONS_POLL_INTERVAL = 0.05  # seconds
 SIGNAL_DELAY = 0.2  # seconds before SIGKILL that stay unused: SIGTERM may have been noticed late
 
 
@@ -166,12 +168,24 @@
     if config.initial_endpoints is not None:
         components.dispatcher.on_watch_event(config.initial_endpoints)
         initial_version = config.initial_endpoints.version
+    await _wait_for_suspensions(components.process_group)
     await _listen(components, config, environment)
+    components.process_group.announce_accepting()
     components.discovery.set_address(*config.discovery, initial_version)
     if components.counter is not None:
         components.counter.start()
 
 
+async def _wait_for_suspensions(process_group: ProcessGroup) -> None:
+    """Not ready while what operators have suspended cannot be read: it would be forwarded to."""
+    deadline = asyncio.get_running_loop().time() + SUSPENSIONS_TIMEOUT
+    while not process_group.knows_suspensions:
+        if asyncio.get_running_loop().time() > deadline:
+            log.error("starting without the suspensions of earlier processes, which cannot be read")
+            return
+        await asyncio.sleep(SUSPENSIONS_POLL_INTERVAL)
+
+
 def _on_process_group_changed(
     components: Components, max_sockets: int, process_count: int, suspended: frozenset[str]
 ) -> None:
@@ -330,7 +344,8 @@
     listener.start_draining()
     components.dispatcher.begin_shutdown()
     timeout = drain_timeout(components.dispatcher.settings)
-    if components.process_group.count_processes() > 1:
+    components.process_group.withdraw_accepting()
+    if components.process_group.has_accepting_peer():
         # The other process accepts. Clients that are connected here leave with their next response; a
         # connection closed sooner could cross a request on its way.
         await listener.stop_accepting()
--- a/quota_gateway/net/dispatcher.py
+++ b/quota_gateway/net/dispatcher.py
@@ -78,7 +78,7 @@
         self._dispatching = False
         self._terminating = False
         self._requests = RequestTable(settings, clock, pool, self.dispatch, self._metrics.invariants)
-        self._admin_calls = AdminCalls(self._metrics, self._requests)
+        self._admin_calls = AdminCalls(self._metrics, self._requests, self._process_group)
         self._executors = self._executors_by_action()
 
     def _executors_by_action(self) -> dict[type, Callable[[Any], None]]:
@@ -151,6 +151,7 @@
 
     def on_request(self, request: ClientRequest) -> None:
         """A request has come, of a long one the head."""
+        self._process_group.poll_if_late()
         event = request.event
         assert event is not None
         if self._terminating:
@@ -242,6 +243,8 @@
     def _record_suspension(self, action: model.RecordSuspension) -> None:
         log.info("endpoint %s: %s", action.endpoint, "suspended" if action.suspended else "restored")
         suspensions = self._process_group.set_suspended(action.endpoint, action.suspended)
+        if (action.endpoint in suspensions) is not action.suspended:
+            self._admin_calls.refuse_next()  # there are too many
         self._pool.exclude(suspensions)
         # Another process may have recorded more of them meanwhile.
         self.dispatch(model.SuspensionsChanged(suspensions))
--- a/quota_gateway/net/shared_files.py
+++ b/quota_gateway/net/shared_files.py
@@ -14,21 +14,23 @@
     """An exclusive ``flock`` on a file, which is created where it is missing; released by ``close``.
 
     The kernel releases it as well when the process ends, however it ends. ``acquired`` is false where another
-    process holds the lock. Raises ``OSError`` where the file cannot be opened.
+    process holds the lock. Raises ``OSError`` where the file cannot be opened or locked: that tells nothing.
     """
 
     __slots__ = ("_descriptor", "acquired")
 
-    def __init__(self, path: Path, *, blocking: bool) -> None:
-        """Open the file and try to lock it; with ``blocking`` wait while another process holds the lock."""
+    def __init__(self, path: Path) -> None:
+        """Open the file and try to lock it; does not wait: a stopped process may hold the lock for long."""
         self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, LOCK_FILE_MODE)
         self.acquired = False
-        operation = fcntl.LOCK_EX if blocking else fcntl.LOCK_EX | fcntl.LOCK_NB
         try:
-            fcntl.flock(self._descriptor, operation)
+            fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
             self.acquired = True
+        except BlockingIOError:
+            os.close(self._descriptor)
         except OSError:
             os.close(self._descriptor)
+            raise
 
     def close(self) -> None:
         """Release the lock; a second call does nothing."""
--- a/quota_gateway/net/suspension_file.py
+++ b/quota_gateway/net/suspension_file.py
@@ -1,6 +1,7 @@
 """The endpoints that operators have suspended, kept in one file for all processes of a limiter.
 
-The file outlives the processes, so that a suspension holds across a restart and an upgrade.
+The file outlives the processes, so that a suspension holds across restarts and upgrades. The folder may fail
+for a while: a command that is not in the file yet holds in this process, and is written when that works.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 FILE_NAME = "bans.json"  # the names of the files and of the key belong to the format on disk
 LOCK_FILE_NAME = "bans.lock"
 NAMES_KEY = "out"
-MAX_SUSPENSIONS = 4096  # endpoints; one more is not recorded
+MAX_SUSPENSIONS = 4096  # endpoints; one more is refused
 MAX_FILE_SIZE = 4 * 1024 * 1024  # bytes that are read
 
 
@@ -32,7 +33,7 @@
     """The suspended endpoints; raises ``SuspensionFormatError`` where the file is malformed."""
     try:
         document = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise SuspensionFormatError(f"expected JSON: {error}") from None
     if not isinstance(document, dict) or NAMES_KEY not in document:
         raise SuspensionFormatError(f"expected an object with the key {NAMES_KEY!r}")
@@ -49,61 +50,86 @@
         """``process_file`` is a name that no other process has, for temporary files."""
         self._folder = folder
         self._temporary_name = f"{FILE_NAME}.{process_file}"
-        self._endpoints = frozenset[str]()
-        self._version: tuple[int, int] | None = None  # inode and time of change in ns of the file read last
-        self._is_malformed = False  # and this was logged
+        self._recorded = frozenset[str]()  # as the file has them, or had when it was read last
+        self._unsaved = dict[str, bool]()  # by endpoint, whether it is suspended: not in the file yet
+        self._content: bytes | None = None  # of the file when it was read last
+        self._error_logged = False
+        self.is_known = folder is None  # whether the file was read, is missing or malformed
+
+    @property
+    def is_saved(self) -> bool:
+        """Whether all commands so far are in the file, as far as there is one."""
+        return self._folder is None or not self._unsaved
+
+    @property
+    def _endpoints(self) -> frozenset[str]:
+        suspended = {name for name, is_suspended in self._unsaved.items() if is_suspended}
+        return self._recorded - self._unsaved.keys() | suspended
 
     def read(self) -> frozenset[str]:
         """The suspended endpoints; those read last where the file is missing or cannot be read."""
-        if self._folder is None:
-            return self._endpoints
-        try:
-            self._read_if_changed(self._folder / FILE_NAME)
-        except FileNotFoundError:
-            pass
-        except (OSError, SuspensionFormatError) as error:
-            if not self._is_malformed:
-                log.error("the file of suspended endpoints cannot be read, they stay as they were: %s", error)
-            self._is_malformed = True
+        if self._folder is not None:
+            try:
+                self._load(self._folder / FILE_NAME)
+                self._error_logged = False
+            except (OSError, SuspensionFormatError) as error:
+                self._log_once(
+                    "the file of suspended endpoints cannot be read, they stay as they were", error
+                )
         return self._endpoints
 
-    def _read_if_changed(self, path: Path) -> None:
-        status = path.stat()
-        version = status.st_ino, status.st_mtime_ns
-        if version == self._version:
+    def _load(self, path: Path) -> None:
+        """Read the file; ``OSError`` where nothing is known of it, ``SuspensionFormatError`` if malformed."""
+        try:
+            with path.open("rb") as file:
+                content = file.read(MAX_FILE_SIZE)
+        except FileNotFoundError:
+            self.is_known = True
             return
-        with path.open("rb") as file:
-            self._endpoints = _decode(file.read(MAX_FILE_SIZE))
-        self._version = version
-        self._is_malformed = False
+        self.is_known = True
+        if content != self._content:
+            self._recorded = _decode(content)
+            self._content = content
 
     def update(self, endpoint: str, suspended: bool) -> frozenset[str]:
         """Suspend or restore an endpoint for all processes, and return those that are suspended then.
 
-        Waits while another process writes. Where nothing can be written it holds for this process alone.
+        It holds here at once; ``is_saved`` tells whether it is recorded for the others. Beyond
+        ``MAX_SUSPENSIONS`` an endpoint is not suspended.
         """
-        if self._folder is None:
-            self._update_in_memory(endpoint, suspended)
-            return self._endpoints
+        endpoints = self.read()
+        if suspended and endpoint not in endpoints and len(endpoints) >= MAX_SUSPENSIONS:
+            return endpoints
+        self._unsaved[endpoint] = suspended
+        self.save()
+        return self._endpoints
+
+    def save(self) -> None:
+        """Write what is not in the file yet; where that fails it stays to be written."""
+        if self.is_saved or self._folder is None:
+            return
         try:
-            with FileLock(self._folder / LOCK_FILE_NAME, blocking=True):
-                self._update_file(self._folder, endpoint, suspended)
+            with FileLock(self._folder / LOCK_FILE_NAME) as lock:
+                if lock.acquired:
+                    self._write(self._folder)
         except OSError as error:
-            log.error("a suspension could not be written: %s", error)
-            self._update_in_memory(endpoint, suspended)
-        return self._endpoints
+            self._log_once("a suspension cannot be written yet", error)
 
-    def _update_file(self, folder: Path, endpoint: str, suspended: bool) -> None:
-        recorded = self.read()
-        if suspended and len(recorded) < MAX_SUSPENSIONS:
-            self._endpoints = recorded | {endpoint}
-        else:
-            self._endpoints = recorded - {endpoint}
-        text = _encode(self._endpoints)
+    def _write(self, folder: Path) -> None:
+        try:
+            self._load(folder / FILE_NAME)
+        except SuspensionFormatError as error:
+            self._log_once("the file of suspended endpoints is malformed and is replaced", error)
+        endpoints = self._endpoints
+        text = _encode(endpoints)
         replace_file(folder / FILE_NAME, text, temporary=folder / self._temporary_name)
-
-    def _update_in_memory(self, endpoint: str, suspended: bool) -> None:
-        if suspended:
-            self._endpoints |= {endpoint}
-        else:
-            self._endpoints -= {endpoint}
+        self._recorded = endpoints
+        self._content = text.encode()
+        self._unsaved.clear()
+        self._error_logged = False
+
+    def _log_once(self, message: str, error: Exception) -> None:
+        """Log an error, until reading or writing has succeeded again."""
+        if not self._error_logged:
+            log.error("%s: %s", message, error)
+        self._error_logged = True
