--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -11,12 +11,13 @@
 import pytest
 
 from quota_gateway import model
-from tests.client_helpers import DISCONNECTS, LATE, read_final
+from tests.client_helpers import DISCONNECTS, LATE, on_timer, read_final
 from tests.http_bodies import LONG_BODY, chunked, read_body, read_head, upload, upload_head
 from tests.loopback import (
     OK_RESPONSE,
     LoopbackLimiter,
     ScriptedDecisions,
+    ScriptedEndpoint,
     async_test,
     forward_to_s1,
     http_request,
@@ -302,3 +303,23 @@
         assert " 429 " in (await read_message(reader))[0]
         (completed,) = await script.wait_for(model.AttemptCompleted)
         assert completed.status is model.CallStatus.RESET_BEFORE_REQUEST and not completed.may_retry
+
+
+@async_test
+async def test_the_request_behind_an_upload_that_was_complete_before_an_endpoint_took_it_is_read() -> None:
+    script = ScriptedDecisions(lambda _event: [])
+    origin = ScriptedEndpoint()
+    async with (
+        running_server(origin.handle_connection) as address,
+        LoopbackLimiter(script, {"s1": address}) as limiter,
+    ):
+        reader, writer = await limiter.connect()
+        writer.write(upload("length", b"x" * 70_000))
+        await script.wait_for(model.UploadCompleted)
+        (waiting,) = await script.wait_for(model.Request)
+        script.decide = on_timer(forward_to_s1(waiting))
+        limiter.dispatcher.dispatch(model.TimerFired(1))
+        assert " 200 " in (await read_message(reader))[0]
+        writer.write(http_request())
+        assert " 200 " in (await read_message(reader))[0]
+        writer.close()
--- a/tests/test_client_timeouts.py
+++ b/tests/test_client_timeouts.py
@@ -159,3 +159,24 @@
             assert " 429 " in (await read_message(reader))[0]
         assert " 408 " in (await read_message(reader))[0]
         writer.close()
+
+
+@pytest.mark.usefixtures("short_timeouts")
+@async_test
+async def test_a_rejected_upload_behind_a_request_does_not_end_the_scan_for_others() -> None:
+    script = ScriptedDecisions(lambda _event: [])
+    async with LoopbackLimiter(script, {}) as limiter:
+        reader, writer = await limiter.connect()
+        unknown = HUGE_POST.replace(b"/post?", b"/none?") + b"x" * 100_000
+        writer.write(http_request() + unknown)
+        (waiting,) = await script.wait_for(model.Request)
+        await asyncio.sleep(3 * request_body.BODY_TIMEOUT)
+        silent, other = await limiter.connect()
+        other.write(b"GET /loo")
+        assert " 408 " in (await read_message(silent))[0]
+        script.decide = on_timer([model.Reject(waiting.id, 0.1)])
+        limiter.dispatcher.dispatch(model.TimerFired(1))
+        assert " 429 " in (await read_message(reader))[0]
+        assert " 404 " in (await read_message(reader))[0]
+        writer.close()
+        other.close()
--- /dev/null
+++ b/tests/test_stalled_process.py
@@ -0,0 +1,78 @@
+"""A process that stood still: what waited meanwhile is served by the time that its client has left."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from typing import Any
+
+import pytest
+
+from quota_gateway import model
+from tests.client_helpers import DISCONNECTS
+from tests.loopback import (
+    LoopbackLimiter,
+    ScriptedDecisions,
+    ScriptedEndpoint,
+    async_test,
+    forward_to_s1,
+    http_request,
+    read_message,
+    running_server,
+)
+
+STALL = 0.4  # seconds
+SLACK = 0.1  # seconds: less than the 0.15 that the specification gives
+
+
+@pytest.mark.parametrize("is_first", [True, False])
+@async_test
+async def test_a_request_that_waited_during_a_stall_has_so_much_less_time(is_first: bool) -> None:
+    script = ScriptedDecisions(forward_to_s1)
+    origin = ScriptedEndpoint()
+    async with (
+        running_server(origin.handle_connection) as address,
+        LoopbackLimiter(script, {"s1": address}) as limiter,
+    ):
+        client = socket.create_connection(limiter.address)
+        if not is_first:
+            client.sendall(http_request())
+            await script.wait_for(model.AttemptCompleted)
+            client.recv(1000)
+        client.sendall(http_request(timeout_ms=2000))
+        time.sleep(STALL)
+        reader, writer = await asyncio.open_connection(sock=client)
+        assert " 200 " in (await read_message(reader))[0]
+        told = int(origin.requests[-1][1]["x-timeout-ms"]) / 1000
+        assert told <= 2.0 - STALL + SLACK
+        assert script.events[-2].timeout <= 2.0 - STALL + SLACK  # type: ignore[union-attr]
+        writer.close()
+
+
+@pytest.mark.parametrize("close_client", DISCONNECTS)
+@pytest.mark.parametrize("is_first", [True, False])
+@async_test
+async def test_no_attempt_begins_for_a_client_that_sent_and_left_during_a_stall(
+    close_client: Any, is_first: bool
+) -> None:
+    """Request and end of input are both unread when the process goes on."""
+    script = ScriptedDecisions(forward_to_s1)
+    origin = ScriptedEndpoint()
+    async with (
+        running_server(origin.handle_connection) as address,
+        LoopbackLimiter(script, {"s1": address}) as limiter,
+    ):
+        client = socket.create_connection(limiter.address)
+        if not is_first:
+            client.sendall(http_request())
+            await script.wait_for(model.AttemptCompleted)
+            client.recv(1000)
+        served = len(origin.requests)
+        client.sendall(http_request())
+        close_client(client)
+        time.sleep(STALL)
+        request = http_request()
+        assert " 200 " in (await limiter.fetch(request))[0]  # behind whatever else was forwarded
+        assert len(origin.requests) == served + 1
+        assert origin.requests[-1][1]["x-request-id"].encode() in request
