Count the time that requests waited during a stall, and end what uploads left behind

Cause: a request was taken as sent when it was read (RequestTable.add), and its client as seen then (RequestReader._submit): after a stop, or from the accept queue of a socket that the platform holds, an endpoint was told up to the whole length of the stall too much, and an attempt began for a client that had gone. A rejected upload behind a request stayed open in the reader, was answered at each scan, and what that raised ended the scan. An upload complete before an endpoint took it left its connection paused. Change: StallDetector (marks by reads and a heartbeat) tells since when what is read may have waited; in the second behind a stall and a start the system is asked when the last byte came (TCP_INFO) and the request has so much less time; a client counts as seen when the event loop ran before. A rejected upload is forgotten; an error at one client leaves the scan to the others; the end of a body resumes its source.

--- a/quota_gateway/net/body_stream.py
+++ b/quota_gateway/net/body_stream.py
@@ -70,8 +70,10 @@
             self._source.set_paused(True)
 
     def finish(self) -> None:
-        """Take the end of the body from the source."""
-        self.complete = True
+        """Take the end of the body from the source, which may go on with what is behind it."""
+        if not self.complete:
+            self.complete = True
+            self._source.set_paused(False)
         if self._sink is not None and not self._buffer:
             self._sink.finish()
 
@@ -100,7 +102,9 @@
         if self.failed:
             return self._sink.truncate()
         if not writable:
-            return self._source.set_paused(not self.complete)
+            if not self.complete:  # else the source is at another body by now
+                self._source.set_paused(True)
+            return
         if self._buffer:
             data = b"".join(self._buffer)
             self._buffer = []
--- a/quota_gateway/net/client_connection.py
+++ b/quota_gateway/net/client_connection.py
@@ -38,6 +38,7 @@
         "phase_started_at",
         "reader",
         "reading_paused",
+        "received_after",
         "request_queue",
         "transport",
     )
@@ -52,6 +53,7 @@
         self.liveness = ClientLiveness(self, now)
         self.closer = ConnectionCloser(self)
         self.phase_started_at = now  # of the last connect, begin of a request or end of a response
+        self.received_after = now  # what is read now, or an end of input, may have come since
         self.discards_input = False  # nothing more is parsed, what is received is dropped
         self.reading_paused = False
         self.has_sent_data = False
@@ -87,8 +89,12 @@
         if self.discards_input:
             self.closer.discard(len(data))
             return
-        self.listener.active_connections += not self.has_sent_data
+        listener = self.listener
+        listener.active_connections += not self.has_sent_data
         self.has_sent_data = True
+        now = listener.clock()
+        listener.stalls.mark(now)
+        self.received_after = listener.stalls.unread_since(now)
         self.reader.feed(data)
 
     def eof_received(self) -> bool:
--- a/quota_gateway/net/client_liveness.py
+++ b/quota_gateway/net/client_liveness.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 from quota_gateway.net.client_stats import CloseReason
@@ -17,6 +19,9 @@
 # Seconds after the end of a client's input in which an attempt for it may still begin: 0.1 s are allowed, and
 # a slow event loop needs its part of them. For as long a client that was seen is taken to be there unpolled.
 PRESENCE_GRACE = 0.05
+TCP_INFO_SIZE = 64  # bytes of struct tcp_info (Linux), up to the times of the last segments
+LAST_DATA_RECEIVED = 52  # offset of tcpi_last_data_recv: milliseconds since the last byte came
+NATIVE_UNSIGNED = struct.Struct("I")
 
 
 class ClientLiveness:
@@ -74,6 +79,20 @@
             return False
         return True
 
+    def seconds_unread(self) -> float:
+        """Seconds that what has just been read had waited, if this process may have stood still meanwhile."""
+        connection = self._connection
+        now = connection.listener.clock()
+        if connection.transport is None or not connection.listener.stalls.is_after_stall(now):
+            return 0.0
+        elapsed = now - connection.received_after
+        client_socket = connection.transport.get_extra_info("socket")
+        with contextlib.suppress(OSError, struct.error):
+            info = client_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+            (milliseconds,) = NATIVE_UNSIGNED.unpack_from(info, LAST_DATA_RECEIVED)
+            return float(min(elapsed, milliseconds / 1000))
+        return 0.0
+
     def poll(self) -> None:
         """Look at the socket: while the input is not read, nothing else shows that the client has gone."""
         connection = self._connection
--- a/quota_gateway/net/listener.py
+++ b/quota_gateway/net/listener.py
@@ -14,6 +14,7 @@
 from quota_gateway.net.client_stats import ClientStats, CloseReason
 from quota_gateway.net.metrics import Metrics
 from quota_gateway.net.request_parser import RequestParser
+from quota_gateway.net.stall_detector import HEARTBEAT_INTERVAL, StallDetector
 
 log = logging.getLogger(__name__)
 
@@ -50,6 +51,8 @@
         self._crowded_above = CROWDED_FRACTION * max_connections
         self._scan_timer: asyncio.TimerHandle | None = None
         self._scan_count = 0
+        self.stalls = StallDetector(self.clock())
+        self._heartbeat_timer: asyncio.TimerHandle | None = None
         self.connections = dict[ClientConnection, None]()  # in the order of their connecting
         self._acceptor: Acceptor | None = None
         self._is_inherited = False
@@ -66,6 +69,7 @@
         listening = inherited or await create_listening_socket(host, port, reuse_port=beside)
         self._acceptor = Acceptor(listening, self._new_connection, self._on_accept_error)
         self._scan()
+        self._beat()
         return self._acceptor.address
 
     def _on_accept_error(self, error: OSError) -> None:
@@ -104,11 +108,19 @@
         self._scan_timer = asyncio.get_running_loop().call_later(SCAN_INTERVAL, self._scan)
         now = self.clock()
         for client in list(self.connections):
-            client.check_timeouts(now)
+            try:
+                client.check_timeouts(now)
+            except Exception:
+                log.exception("a client's time-outs could not be checked")
         self._scan_count += 1
         if self._scan_count % SCANS_PER_LOG_LINE == 0:
             self.stats.log_counts(len(self.connections))
 
+    def _beat(self) -> None:
+        """Note that the event loop runs, also while no client sends."""
+        self.stalls.mark(self.clock())
+        self._heartbeat_timer = asyncio.get_running_loop().call_later(HEARTBEAT_INTERVAL, self._beat)
+
     @property
     def closes_connections(self) -> bool:
         """Whether responses say that their connection closes."""
@@ -153,5 +165,6 @@
         self.closes_idle_connections = True
         self._scan()
         await self.wait_until_empty(grace)
-        if self._scan_timer is not None:
-            self._scan_timer.cancel()
+        for timer in (self._scan_timer, self._heartbeat_timer):
+            if timer is not None:
+                timer.cancel()
--- a/quota_gateway/net/request_reader.py
+++ b/quota_gateway/net/request_reader.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import httptools
 
+from quota_gateway import model
 from quota_gateway.net.body_stream import BodyStream
 from quota_gateway.net.client_request import ClientRequest
 from quota_gateway.net.http_common import MAX_BUFFERED_BODY, MAX_HEAD
@@ -20,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 MAX_PIPELINE = 8  # unanswered requests of one connection: clients send one at a time
+MIN_TIMEOUT = 0.001  # seconds that a request is taken to have left at least
 HEAD_TIMEOUT = 2.5  # seconds for a head: a slow client takes 2, a bad one must be answered by 3
 
 
@@ -156,7 +159,8 @@
             return
         self.body.upload = None
         request = connection.request_queue[-1]
-        if request.response is None:
+        if request.response is None and request.event is not None:
+            request.event = self._without_waiting_time(request.event)
             connection.listener.handler.on_upload_completed(request)
         upload.finish()
 
@@ -165,7 +169,7 @@
         is_http_1_0 = self._parser.get_http_version() == "1.0"
         request = ClientRequest(connection, self._parser.should_keep_alive(), is_http_1_0)
         request.upload = upload
-        connection.liveness.last_seen_at = connection.listener.clock()
+        connection.liveness.last_seen_at = connection.received_after
         connection.request_queue.append(request)
         try:
             self._dispatch(request)
@@ -174,10 +178,16 @@
             connection.discards_input = True
             request.keep_alive = False
             request.upload = None
+            self.body.discard_upload()
             request.respond(error.status)
             raise  # and nothing behind it is parsed
         connection.update_reading()
 
+    def _without_waiting_time(self, event: model.Request) -> model.Request:
+        """The request with the time that its client has left: it may have waited during a stall."""
+        waited = self._connection.liveness.seconds_unread()
+        return replace(event, timeout=max(MIN_TIMEOUT, event.timeout - waited)) if waited else event
+
     def _dispatch(self, request: ClientRequest) -> None:
         listener = self._connection.listener
         head = self.head
@@ -191,6 +201,7 @@
         request.forwarded_body = self.body.collected()
         head.add_framing(request, method)
         event = listener.parser.parse(method, target, head.headers, request.upload is not None)
+        event = self._without_waiting_time(event)
         request_id = head.headers[REQUEST_ID].lower()
         # An open request with this id is another one: outcomes must not be taken for each other's.
         if request_id in listener.open_request_ids:
