--- /dev/null
+++ b/tests/test_attempts_out.py
@@ -0,0 +1,63 @@
+"""Attempts that are given up: their connection ends before another attempt of the request is written."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+
+import pytest
+
+from quota_gateway import model
+from quota_gateway.net import upstream_connection, upstream_endpoint
+from tests.loopback import (
+    OK_RESPONSE,
+    LoopbackLimiter,
+    ScriptedDecisions,
+    ScriptedEndpoint,
+    async_test,
+    forward_to_s1,
+    http_request,
+    read_message,
+    running_server,
+)
+
+ENDLESS_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nbegin"
+
+
+@async_test
+async def test_the_connection_of_a_given_up_attempt_has_ended_when_the_next_attempt_is_written(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Whoever sees the second request sees the end of the first one's connection already."""
+    monkeypatch.setattr(upstream_connection, "MAX_RESPONSE_GAP", 0.05)
+    monkeypatch.setattr(upstream_endpoint, "SETTLE_DELAY", 0.0)
+    first_socket = list[socket.socket]()
+    has_ended = list[bool]()
+
+    async def talk_first(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_message(reader)
+        first_socket.append(writer.get_extra_info("socket"))
+        writer.write(ENDLESS_RESPONSE)
+        await asyncio.Event().wait()
+
+    def look(event: model.Event) -> list[model.Action]:
+        if isinstance(event, model.Request):
+            return [model.Forward(event.id, "s1", 5.0)]
+        if isinstance(event, model.AttemptCompleted) and event.status is model.CallStatus.ERROR:
+            poll = select.poll()
+            poll.register(first_socket[0].fileno(), select.POLLRDHUP)
+            has_ended.append(bool(poll.poll(0)))
+            return [model.Forward(event.request_id, "s2", 5.0)]
+        return []
+
+    second = ScriptedEndpoint(lambda _number: OK_RESPONSE)
+    script = ScriptedDecisions(forward_to_s1)
+    async with (
+        running_server(talk_first) as first_address,
+        running_server(second.handle_connection) as second_address,
+        LoopbackLimiter(script, {"s1": first_address, "s2": second_address}) as limiter,
+    ):
+        script.decide = look
+        assert " 200 " in (await limiter.fetch(http_request()))[0]
+        assert has_ended == [True]
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -323,3 +323,23 @@
         writer.write(http_request())
         assert " 200 " in (await read_message(reader))[0]
         writer.close()
+
+
+@async_test
+async def test_an_upload_without_time_at_an_endpoint_gets_its_answer() -> None:
+    def forward_without_time(event: model.Event) -> list[model.Action]:
+        if isinstance(event, model.Request):
+            return [model.Forward(event.id, "s1", 0.0)]
+        if isinstance(event, model.AttemptCompleted) and not event.request_finished:
+            return [model.Reject(event.request_id, 0.1)]
+        return []
+
+    origin = ScriptedEndpoint()
+    async with (
+        running_server(origin.handle_connection) as address,
+        LoopbackLimiter(ScriptedDecisions(forward_without_time), {"s1": address}) as limiter,
+    ):
+        reader, writer = await limiter.connect()
+        writer.write(upload("length", b"x" * 70_000))
+        assert " 429 " in (await read_message(reader))[0]
+        writer.close()
