Look at a repeat's window before its write, end a given-up attempt at once, refuse no time

Cause: may_repeat left a twentieth of the window for all that comes between decision and write, and the pool did not look again after a connect; transport.abort closes a socket in a later turn of the event loop, behind the write of the next attempt; RequestTable took a time-out of 0 for none, and formatting an infinite one raised within pool.start, which left the request without an attempt that could end (uploads have no deadline by then: no answer at all). Change: repeats are decided up to 150 ms before the window's end, Forward.not_after says until when a repeat may be written, and the pool looks at it last; the guard holds the window itself. UpstreamWriter.abort sends the connection's end in the same step. No time means no attempt; an attempt that cannot be started is reported as not sent.

--- a/quota_gateway/decisions/forwarding.py
+++ b/quota_gateway/decisions/forwarding.py
@@ -10,7 +10,7 @@
 from quota_gateway.decisions.leases import LeaseManager
 from quota_gateway.decisions.load_balancer import LoadBalancer
 from quota_gateway.decisions.outlier_detection import OutlierDetector
-from quota_gateway.decisions.retries import RetryBudget, may_reject, retry_after
+from quota_gateway.decisions.retries import RetryBudget, may_reject, repeat_deadline, retry_after
 from quota_gateway.model import NO_SIGN_OF_LIFE, PROVES_NOT_EXECUTED, AttemptCompleted, CallStatus
 from quota_gateway.state import NO_WORK, Attempt, EndpointState, OpenRequest
 
@@ -75,7 +75,8 @@
         elif state.unresponsive_since is None:
             state.unresponsive_since = now
         state.allowance -= request.work if state.warming_since is not None else 0.0
-        self.context.actions.append(model.Forward(request.id, state.endpoint.name, timeout))
+        not_after = repeat_deadline(request)
+        self.context.actions.append(model.Forward(request.id, state.endpoint.name, timeout, not_after))
         return True
 
     def on_upload_completed(self, now: float, event: model.UploadCompleted) -> None:
--- a/quota_gateway/decisions/retries.py
+++ b/quota_gateway/decisions/retries.py
@@ -1,5 +1,6 @@
 """Retries: the retry budget, what a repeat could do, and which final answer a request is owed."""
 
+import math
 from dataclasses import dataclass
 
 from quota_gateway.arithmetic import refilled
@@ -9,6 +10,7 @@
 MAX_BUDGET = 10.0  # retries that may be saved up
 RETRY_FRACTION = 0.1  # retries that each forwarded request adds to the budget
 WINDOW_MARGIN = 0.95  # of the window in which an idempotency key is known
+HOLD_UP = 0.15  # seconds that this process may be held up between its clock and a write
 MIN_RETRY_AFTER = 0.1  # seconds
 
 
@@ -40,9 +42,17 @@
     request_class = request.request_class
     if request.first_executed is None or request_class.idempotency is Idempotency.INHERENT:
         return True
-    age = now - request.first_executed.started_at
     is_keyed = request_class.idempotency is Idempotency.KEYED
-    return is_keyed and age < WINDOW_MARGIN * request_class.deduplication_window
+    return is_keyed and now < repeat_deadline(request)
+
+
+def repeat_deadline(request: OpenRequest) -> float:
+    """Unix time up to which a repeat may be decided and begin to be written; infinite for a harmless one."""
+    executed = request.first_executed
+    window = request.request_class.deduplication_window
+    if executed is None or request.request_class.idempotency is not Idempotency.KEYED:
+        return math.inf
+    return executed.started_at + min(WINDOW_MARGIN * window, window - HOLD_UP)
 
 
 def may_reject(request: OpenRequest) -> bool:
--- a/quota_gateway/model/actions.py
+++ b/quota_gateway/model/actions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from quota_gateway.model.handover import HandoverState
@@ -14,6 +15,7 @@
     request_id: int
     endpoint: str
     timeout: float  # seconds until the attempt is given up
+    not_after: float = math.inf  # Unix time after which it must not be written any more, as a repeat
 
 
 @dataclass(frozen=True, slots=True)
--- a/quota_gateway/net/attempt_guard.py
+++ b/quota_gateway/net/attempt_guard.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from quota_gateway import model
@@ -51,8 +52,21 @@
         request_class = self._classes.get(opened.event.request_class)
         if request_class is None or request_class.idempotency is model.Idempotency.NONE:
             return False
-        is_inherent = request_class.idempotency is model.Idempotency.INHERENT
-        return is_inherent or now < executed.started_at + request_class.deduplication_window
+        return now < self._window_end(executed, request_class)
+
+    def latest_write(self, opened: PendingRequest) -> float:
+        """Time up to which a further attempt may be written, whatever the decisions say."""
+        executed = next(filter(may_have_executed, opened.attempts), None)
+        request_class = self._classes.get(opened.event.request_class)
+        if executed is None or request_class is None:
+            return math.inf
+        return self._window_end(executed, request_class)
+
+    @staticmethod
+    def _window_end(executed: Exchange, request_class: model.RequestClass) -> float:
+        if request_class.idempotency is model.Idempotency.INHERENT:
+            return math.inf
+        return executed.started_at + request_class.deduplication_window
 
     def _refuse(self, invariant: Invariant, opened: PendingRequest) -> bool:
         self._monitor.report(
--- a/quota_gateway/net/connection_closing.py
+++ b/quota_gateway/net/connection_closing.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
 import fcntl
-import socket
 import struct
 import termios
 from typing import TYPE_CHECKING
@@ -14,6 +12,7 @@
 from quota_gateway.net.client_stats import VOLUNTARY, CloseReason
 from quota_gateway.net.http_common import MAX_STREAMED_BODY
 from quota_gateway.net.invariants import Invariant
+from quota_gateway.net.socket_calls import shut_down_sending
 
 if TYPE_CHECKING:
     from quota_gateway.net.client_connection import ClientConnection
@@ -100,7 +99,7 @@
         if transport is None or transport.is_closing() or self.has_unread_input:
             return False
         if transport.get_write_buffer_size() == 0:
-            _shut_down_sending(transport)
+            shut_down_sending(transport)
         self._begin(reason)
         self._take_transport()
         transport.close()
@@ -171,11 +170,3 @@
             self._transport = transport
             connection.discards_input = True
         return transport
-
-
-def _shut_down_sending(transport: asyncio.Transport) -> None:
-    descriptor = transport.get_extra_info("socket").fileno()
-    borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
-    with contextlib.suppress(OSError):
-        borrowed.shutdown(socket.SHUT_WR)
-    borrowed.detach()
--- a/quota_gateway/net/connection_pool.py
+++ b/quota_gateway/net/connection_pool.py
@@ -23,6 +23,7 @@
 log = logging.getLogger(__name__)
 
 MAX_CONNECTIONS_PER_ENDPOINT = 64
+MAX_TOLD_TIMEOUT = 3600.0  # seconds that an endpoint is told it has, where nothing limits them
 SCAN_INTERVAL = 1.0  # seconds between two scans for idle connections and stalled bodies
 SCANS_PER_LOG_LINE = 10
 # Connecting that fails so has failed here, for want of a descriptor, memory or a port: no endpoint was asked.
@@ -163,16 +164,18 @@
 
     def _send(self, connection: UpstreamConnection, exchange: Exchange) -> None:
         # Time has passed if this waited to connect: the endpoint may be draining, the exchange expired.
-        remaining = exchange.expires_at - self.clock()
+        now = self.clock()
+        remaining = exchange.expires_at - now
         endpoint = connection.endpoint
         usable = connection.address == endpoint.address and self._endpoints.is_usable(endpoint)
         if self._breaks_invariant(connection, exchange):
             return
         # The client is asked last: that polls its socket, and may withdraw this very exchange.
-        if remaining <= 0 or not usable or exchange.has_lost_client():
+        is_late = remaining <= 0 or now > exchange.not_after
+        if is_late or not usable or exchange.has_lost_client():
             self.release(connection, True)
             return self.complete(exchange, CallStatus.NOT_SENT)
-        timeout_ms = max(1, int(min(remaining, exchange.timeout) * 1000))
+        timeout_ms = max(1, int(min(remaining, exchange.timeout, MAX_TOLD_TIMEOUT) * 1000))
         timeout_header = b"X-Timeout-Ms: %d\r\n\r\n" % timeout_ms
         connection.send(exchange, exchange.request_head + timeout_header + exchange.request_body)
 
--- a/quota_gateway/net/exchange.py
+++ b/quota_gateway/net/exchange.py
@@ -34,6 +34,7 @@
     on_response_started: Callable[[Exchange, BodyStream], bool] | None = None
     upload: BodyStream | None = None  # a streamed request body; ``expires_at`` is known once it is complete
     timeout: float = math.inf  # seconds; the most that the endpoint is told it has
+    not_after: float = math.inf  # when it may be written at the latest, in seconds by the pool's clock
     started_at: float = 0.0  # seconds, by the pool's clock
     request_written: bool = False  # completely: from then on the endpoint may execute it
     completed: bool = False
--- a/quota_gateway/net/request_table.py
+++ b/quota_gateway/net/request_table.py
@@ -18,8 +18,8 @@
 from quota_gateway.net.client_request import ClientRequest
 from quota_gateway.net.connection_pool import ConnectionPool
 from quota_gateway.net.exchange import Exchange
-from quota_gateway.net.invariants import InvariantMonitor
-from quota_gateway.net.request_log import RequestLog
+from quota_gateway.net.invariants import Invariant, InvariantMonitor
+from quota_gateway.net.request_log import RequestLog, describe_request
 
 log = logging.getLogger(__name__)
 
@@ -154,20 +154,30 @@
         is_allowed = self._guard.may_start(opened, self._clock())
         attempt = self._new_attempt(action, opened, number)
         opened.attempts.append(attempt)
-        if is_allowed and number < min(opened.max_attempts, self._max_attempts):
-            self._pool.start(attempt)
+        has_attempts = number < min(opened.max_attempts, self._max_attempts)
+        if is_allowed and has_attempts and action.timeout > 0:
+            self._start(attempt, opened)
         else:
             self._pool.complete(attempt, model.CallStatus.NOT_SENT)
 
+    def _start(self, attempt: Exchange, opened: PendingRequest) -> None:
+        """Start an attempt; whatever goes wrong, the decisions are told how it ended."""
+        try:
+            self._pool.start(attempt)
+        except Exception:
+            log.exception("an attempt could not be started")
+            story = describe_request(opened.request.request_id, opened.event, opened.attempts)
+            self._invariants.report(Invariant.STARTED_COMPLETELY, story)
+            self._pool.complete(attempt, model.CallStatus.NOT_SENT)
+
     def _log_end(self, opened: PendingRequest, answer: str) -> None:
         self._log.answered(self._clock(), opened.request.request_id, opened.event, opened.attempts, answer)
 
     def _new_attempt(self, action: model.Forward, opened: PendingRequest, number: int) -> Exchange:
         request = opened.request
-        timeout = action.timeout or math.inf
         expires_at = math.inf
         if opened.deadline != math.inf:
-            expires_at = min(opened.deadline, self._clock() + timeout)
+            expires_at = min(opened.deadline, self._clock() + action.timeout)
         return Exchange(
             endpoint=action.endpoint,
             request_head=request.forwarded_head,
@@ -176,7 +186,8 @@
             on_complete=partial(self._attempt_completed, action.request_id, number),
             on_response_started=partial(self._response_started, action.request_id),
             upload=request.upload,
-            timeout=timeout,
+            timeout=action.timeout,
+            not_after=min(action.not_after, self._guard.latest_write(opened)),
             is_client_connected=request.is_client_connected,
         )
 
--- a/quota_gateway/net/upstream_writer.py
+++ b/quota_gateway/net/upstream_writer.py
@@ -11,6 +11,7 @@
 
 from quota_gateway.model import CallStatus
 from quota_gateway.net.exchange import Exchange
+from quota_gateway.net.socket_calls import shut_down_sending
 
 if TYPE_CHECKING:
     from quota_gateway.net.upstream_endpoint import UpstreamEndpoint
@@ -146,6 +147,12 @@
         return bool(NATIVE_INT.unpack(size)[0])
 
     def abort(self) -> None:
-        """Close at once; nothing more is written or read."""
+        """Close at once; nothing more is written or read.
+
+        The end is sent in this step: another attempt of the request may be written in the next one, and must
+        not be out beside this one.
+        """
         if self.transport is not None:
+            if not self.transport.is_closing():
+                shut_down_sending(self.transport)
             self.transport.abort()
