--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -5,12 +5,14 @@
 import asyncio
 from collections.abc import Callable
 from random import Random
+from typing import Any
 
 import pytest
 
 from quota_gateway import model
 from quota_gateway.net import backoff, endpoint_watch
 from quota_gateway.net.endpoint_watch import EndpointWatcher
+from quota_gateway.net.http_common import split_address
 from quota_gateway.net.watch_event import WatchEvent
 from quota_gateway.settings_parser import parse_timing
 from tests.discovery_server import (
@@ -304,3 +306,41 @@
         assert max(unanswered) == endpoint_watch.MAX_UNANSWERED_REQUESTS
         while discovery.open_connections:  # cancelling the watcher closes all of them
             await asyncio.sleep(0.01)
+
+
+@async_test
+async def test_a_watcher_that_is_cancelled_as_a_request_of_it_is_answered_leaves_no_task(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """An earlier request is answered, and its task would live as long as its watch."""
+    scale_times(monkeypatch, 0.1)
+    answers = asyncio.Event()
+    connected = asyncio.Queue[None]()
+
+    async def answer_first(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        connected.put_nowait(None)
+        if connected.qsize() == 1:
+            await answers.wait()
+            writer.write(RESPONSE_HEAD)
+        await asyncio.Event().wait()
+
+    async with running_server(answer_first) as address:
+        host, port = split_address(address)
+        watcher = EndpointWatcher(host, port, None, lambda _event: None, answer_timeout=0.1)
+        following = asyncio.create_task(watcher.follow())
+        on_answered = watcher.on_answered
+
+        def cancel_when_answered(answered: Any) -> None:
+            on_answered(answered)
+            following.cancel()
+
+        watcher.on_answered = cancel_when_answered  # type: ignore[method-assign]
+        while connected.qsize() < 2:
+            await asyncio.sleep(0.01)
+        answers.set()
+        await asyncio.wait([following])
+        for _ in range(20):
+            await asyncio.sleep(0)
+        left = [task for task in asyncio.all_tasks() if "_WatchRequest" in repr(task)]
+        assert left == []
--- a/tests/test_handover_codec.py
+++ b/tests/test_handover_codec.py
@@ -87,3 +87,24 @@
     raw = document()
     del raw["clock"]
     assert decode_handover(json.dumps(raw).encode(), clock_offset=3600.0) == STATE
+
+
+def changed(**members: Any) -> bytes:
+    """A file with other values."""
+    return json.dumps(document() | members).encode()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(changed(bases=[1]), id="list of latencies"),
+        pytest.param(changed(bases=3), id="number of latencies"),
+        pytest.param(changed(mean=10**400), id="beyond the float range"),
+        pytest.param(changed(clock=10**400), id="clock beyond the float range"),
+        pytest.param(b"[" * 100_000, id="nested too deep"),
+    ],
+)
+def test_whatever_a_file_holds_it_is_a_format_error(data: bytes) -> None:
+    """Anything else would end the polling of the other processes."""
+    with pytest.raises(HandoverFormatError):
+        decode_handover(data, 0.0)
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 import signal
 from pathlib import Path
 
-from tests.gateway_process import WIRE_SETTINGS, Program, config, started
+from soak.fault_control import FolderCalls
+from tests.gateway_process import WIRE_SETTINGS, ProcessFaults, Program, config, started
 from tests.loopback import (
     ConnectionHandler,
     ScriptedEndpoint,
@@ -160,3 +162,23 @@
         running_server(unresponsive) as discovery,
     ):
         await asyncio.gather(*(start_and_send(index, endpoint, discovery) for index in range(6)))
+
+
+@async_test
+async def test_a_configuration_that_cannot_be_read_for_a_moment_is_read_later(
+    faults: ProcessFaults,
+) -> None:
+    """An error of the system says nothing of the file: what discovery tells binds 4 s after the signal."""
+    connected = asyncio.Queue[str]()
+    folder = faults.shared_folder
+    async with running_server(pushing_agent("127.0.0.1:1", 42, connected)) as discovery:
+        raw = config("127.0.0.1:1")
+        async with started(raw, folder, environment=faults.environment) as program:
+            (folder / "config.json").write_text(json.dumps(raw | {"discovery": discovery}))
+            faults.control.fail_folder(errno.ENFILE, FolderCalls.READING)
+            program.process.send_signal(signal.SIGHUP)
+            assert " 200 " in await program.health()
+            await asyncio.sleep(0.5)
+            faults.control.fail_folder(0, FolderCalls.NONE)
+            async with asyncio.timeout(3.0):
+                assert await connected.get() == "agent"
