Give malformed handovers one error, end left over watch tasks, read a configuration later

Cause: HandoverFormatError did not cover an object that is none, an integer beyond the float range or deep nesting; a watch request answered in the turn in which its watcher is cancelled was on no list; a file that the system could not read for a moment counted as broken, and the new address of discovery was never heard of. Change: typed errors for all of it; the answered request is the latest; SIGHUP tries an unreadable file again for 3 s. The guard of repeats keeps a request's class as it was when it came: a reload that makes a class stricter was a violation.

--- a/quota_gateway/config.py
+++ b/quota_gateway/config.py
@@ -20,6 +20,10 @@
     """The configuration cannot be read, or no gateway can run with it; the text names what is wrong."""
 
 
+class ConfigUnreadableError(ConfigError):
+    """The system could not read the file, which says nothing of what stands in it."""
+
+
 class Address(NamedTuple):
     """A TCP address."""
 
@@ -74,7 +78,9 @@
     try:
         with open(path, encoding="utf-8") as file:
             raw = json.load(file)
-    except (OSError, ValueError) as error:
+    except OSError as error:
+        raise ConfigUnreadableError(f"cannot read {path}: {error}") from None
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"cannot read {path}: {error}") from None
     return parse_config(raw, environment)
 
@@ -85,7 +91,7 @@
         raise ConfigError("the configuration is not an object with settings")
     try:
         return _config_from(raw, environment)
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise ConfigError(str(error)) from None
 
 
--- a/quota_gateway/lifecycle.py
+++ b/quota_gateway/lifecycle.py
@@ -13,7 +13,7 @@
 from typing import Any, NamedTuple
 
 from quota_gateway import model
-from quota_gateway.config import Config, ConfigError, Environment, load_config
+from quota_gateway.config import Config, ConfigError, ConfigUnreadableError, Environment, load_config
 from quota_gateway.decisions.gateway import Gateway
 from quota_gateway.net.admin import AdminListener
 from quota_gateway.net.connection_pool import ConnectionPool
@@ -38,6 +38,8 @@
 FLUSH_TIMEOUT = 0.15  # seconds to write the responses to what is open even when the drain has timed out
 SUSPENSIONS_TIMEOUT = 4.0  # seconds that a start waits for a file that cannot be read; it is owed 6 s after
 SUSPENSIONS_POLL_INTERVAL = 0.05  # seconds
+RELOAD_RETRY_TIME = 3.0  # seconds in which a file that cannot be read is tried again: news binds after 4
+RELOAD_RETRY_INTERVAL = 0.1  # seconds
 SIGNAL_DELAY = 0.2  # seconds before SIGKILL that stay unused: SIGTERM may have been noticed late
 
 
@@ -256,15 +258,26 @@
         self._components = components
         self._running = config
         self._environment = environment
+        self._retry_timer: asyncio.TimerHandle | None = None
 
     def __call__(self) -> None:
         """Reload; a file that is incomplete or wrong must not end a gateway that serves."""
+        self._reload(asyncio.get_running_loop().time() + RELOAD_RETRY_TIME)
+
+    def _reload(self, give_up_at: float) -> None:
+        """Reload; a file that cannot be read is tried again until then, by the event loop's clock."""
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
         running = self._running
         metrics = self._components.metrics
         try:
             updated = load_config(self._environment)
             _check_reload(updated, running)
         except ConfigError as error:
+            loop = asyncio.get_running_loop()
+            if isinstance(error, ConfigUnreadableError) and loop.time() < give_up_at:
+                self._retry_timer = loop.call_later(RELOAD_RETRY_INTERVAL, self._reload, give_up_at)
+                return
             metrics.reload_errors += 1
             log.error("configuration not reloaded: %s", error)
             return
--- a/quota_gateway/net/attempt_guard.py
+++ b/quota_gateway/net/attempt_guard.py
@@ -35,6 +35,10 @@
         self._classes |= {request_class.name: request_class for request_class in settings.classes}
         self._may_hedge = settings.may_hedge
 
+    def find_class(self, name: str) -> model.RequestClass | None:
+        """The class of that name as the settings have it now; None for an unknown one."""
+        return self._classes.get(name)
+
     def may_start(self, opened: PendingRequest, now: float) -> bool:
         """Whether a further attempt may start at ``now``, in seconds of the dispatcher's clock."""
         if not opened.attempts:
@@ -49,7 +53,7 @@
         executed = next(filter(may_have_executed, opened.attempts), None)
         if executed is None:
             return True
-        request_class = self._classes.get(opened.event.request_class)
+        request_class = opened.request_class
         if request_class is None or request_class.idempotency is model.Idempotency.NONE:
             return False
         return now < self._window_end(executed, request_class)
@@ -57,7 +61,7 @@
     def latest_write(self, opened: PendingRequest) -> float:
         """Time up to which a further attempt may be written, whatever the decisions say."""
         executed = next(filter(may_have_executed, opened.attempts), None)
-        request_class = self._classes.get(opened.event.request_class)
+        request_class = opened.request_class
         if executed is None or request_class is None:
             return math.inf
         return self._window_end(executed, request_class)
--- a/quota_gateway/net/endpoint_watch.py
+++ b/quota_gateway/net/endpoint_watch.py
@@ -273,6 +273,7 @@
             if request is not answered:
                 request.task.cancel()
         self._unanswered = []
+        self._latest = answered  # also where ``follow`` ends before it runs again
 
     def on_ended(self, cause: str) -> None:
         """Log the end of a request or of the watch, once for consecutive failures."""
--- a/quota_gateway/net/handover_codec.py
+++ b/quota_gateway/net/handover_codec.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import math
 from collections.abc import Iterator
@@ -76,7 +77,7 @@
     """
     try:
         document = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise HandoverFormatError(location="file", found=str(error), expected="JSON") from None
     root = _JsonObject(document, "file")
     shift = clock_offset - root.number("clock") if root.has("clock") else 0.0  # older processes write none
@@ -147,10 +148,10 @@
     def numbers_by_name(self, key: str) -> dict[str, float]:
         """An object whose values are finite numbers."""
         location = self._location_of(key)
-        return {
-            str(name): _finite_number(value, f"{location}.{name}")
-            for name, value in self._value(key).items()
-        }  # fmt: skip
+        members = self._value(key)
+        if not isinstance(members, dict):
+            raise HandoverFormatError(location=location, found=_quote(members), expected="an object")
+        return {str(name): _finite_number(value, f"{location}.{name}") for name, value in members.items()}
 
     def objects(self, key: str) -> Iterator[_JsonObject]:
         """The elements of an array of objects."""
@@ -178,9 +179,13 @@
 
 
 def _finite_number(value: Any, location: str) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    number = math.nan
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        with contextlib.suppress(OverflowError):  # an integer beyond the range of a float
+            number = float(value)
+    if not math.isfinite(number):
         raise HandoverFormatError(location=location, found=_quote(value), expected="a finite number")
-    return float(value)
+    return number
 
 
 def _quote(value: Any) -> str:
--- a/quota_gateway/net/request_table.py
+++ b/quota_gateway/net/request_table.py
@@ -36,10 +36,17 @@
 class PendingRequest:
     """A request that has no final answer yet."""
 
-    __slots__ = ("attempts", "deadline", "event", "max_attempts", "request", "timer")
+    __slots__ = ("attempts", "deadline", "event", "max_attempts", "request", "request_class", "timer")
 
-    def __init__(self, request: ClientRequest, event: model.Request, max_attempts: int) -> None:
-        """Open a request; its deadline is set when it has arrived completely."""
+    def __init__(
+        self,
+        request: ClientRequest,
+        event: model.Request,
+        request_class: model.RequestClass | None,
+        max_attempts: int,
+    ) -> None:
+        """Open a request of a class, None if unknown; its deadline is set when it has arrived completely."""
+        self.request_class = request_class  # new settings do not change it
         self.request = request
         self.event = event
         self.deadline = math.inf  # seconds of the dispatcher's clock
@@ -84,7 +91,8 @@
     def add(self, request: ClientRequest, event: model.Request) -> model.Request:
         """Register a request; returns its event with the time that the decisions have."""
         margin = _answer_margin(event.timeout)
-        opened = PendingRequest(request, event, self._max_attempts)
+        request_class = self._guard.find_class(event.request_class)
+        opened = PendingRequest(request, event, request_class, self._max_attempts)
         self[event.id] = opened
         if not event.uploading:  # else its timeout begins with its last byte
             self._start_deadline(opened, event, self._clock(), margin)
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -111,7 +111,6 @@
             complete_at=time.monotonic(),
             told_timeout=int(headers.get("x-timeout-ms", "0")) / 1000,
             body_size=body_size,
-            path_delay=self.proxy.network.delay,
         )
         self._ledger.receipts[receipt.id].append(receipt)
         try:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -52,7 +52,6 @@
     complete_at: float
     told_timeout: float  # seconds; 0: none
     body_size: int
-    path_delay: float  # seconds that the network added on its way
     executed: bool = True  # False: turned away with the promise of no effect
     answer: bytes = b""
     ended_at: float = 0.0  # its answer was written, or its connection ended; 0: neither
@@ -134,6 +133,7 @@
     publications: list[Publication] = field(default_factory=list)
     suspensions: list[Suspension] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
+    paths: list[Span] = field(default_factory=list)  # troubles on the way to the endpoint that ``kind`` names
     bad_clients: list[BadClient] = field(default_factory=list)
     replies: list[Reply] = field(default_factory=list)
     exits: list[Exit] = field(default_factory=list)
--- a/soak/play.py
+++ b/soak/play.py
@@ -263,7 +263,12 @@
         endpoint.behaviour = Behaviour()
 
     async def _path(self, index: int, trouble: Trouble) -> None:
-        proxy = self._run.endpoints[index].proxy
+        endpoint = self._run.endpoints[index]
+        begun = time.monotonic()
+        await self._trouble_path(endpoint.proxy, trouble)
+        self._ledger.paths.append(Span(endpoint.name, -1, begun, time.monotonic()))
+
+    async def _trouble_path(self, proxy: Proxy, trouble: Trouble) -> None:
         network = proxy.network
         if trouble.kind == "path_reset":
             for _ in range(5):
