--- a/soak/judge.py
+++ b/soak/judge.py
@@ -137,7 +137,7 @@
 
 
 def _is_held_back(ledger: Ledger, receipt: Receipt, until: float | None = None) -> bool:
-    """Whether the network may have held the attempt, or up to a moment the end of its connection, on the way."""
+    """Whether the network may have held the attempt, or until then the end of its connection."""
     end = receipt.complete_at if until is None else until
     begin = receipt.first_byte_at - PATH_AFTERMATH
     return any(
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -109,6 +109,20 @@
     assert old.ceiling_tokens == 1.0
 
 
+@pytest.mark.parametrize("stalled", [0.5, 1.5, 3.0, 10.0])
+def test_a_process_that_stood_still_while_another_joined_has_its_part_of_the_ceiling(
+    stalled: float,
+) -> None:
+    """Since its last look the other one may have filled its own part; together they have what there is."""
+    plan = model.Plan("capped", 1.0, 30.0, 90.0, ceiling_rate=CEILING_RATE, ceiling_burst=CEILING_BURST)
+    old = Account(100.0, plan, "acct", 1, started_at=0.0, max_units=4.0)
+    old.ceiling_tokens = 0.0  # used up when it stops
+    new = Account(100.0, plan, "acct", 1, started_at=100.0, max_units=4.0, process_count=2)
+    now = 100.0 + stalled
+    new.take_over(now, old.set_process_count(now, 2))
+    assert old.ceiling_tokens + new.ceiling_tokens <= min(CEILING_BURST, CEILING_RATE * stalled) + 1e-9
+
+
 def test_a_new_process_takes_over_the_state_of_the_old_one() -> None:
     old = GatewaySimulation(make_settings())
     new = GatewaySimulation(make_settings(), 2)
--- a/tests/test_stalled_process.py
+++ b/tests/test_stalled_process.py
@@ -76,3 +76,23 @@
         assert " 200 " in (await limiter.fetch(request))[0]  # behind whatever else was forwarded
         assert len(origin.requests) == served + 1
         assert origin.requests[-1][1]["x-request-id"].encode() in request
+
+
+@async_test
+async def test_a_request_whose_time_ran_out_during_a_stall_is_rejected_and_not_forwarded() -> None:
+    script = ScriptedDecisions(forward_to_s1)
+    origin = ScriptedEndpoint()
+    async with (
+        running_server(origin.handle_connection) as address,
+        LoopbackLimiter(script, {"s1": address}) as limiter,
+    ):
+        client = socket.create_connection(limiter.address)
+        client.sendall(http_request(timeout_ms=int(STALL * 500)))
+        time.sleep(STALL)
+        reader, writer = await asyncio.open_connection(sock=client)
+        status, headers, _ = await read_message(reader)
+        assert " 503 " in status and "retry-after" in headers
+        assert not origin.requests and not limiter.listener.open_request_ids
+        writer.write(http_request())
+        assert " 200 " in (await read_message(reader))[0]
+        writer.close()
--- a/tests/test_watch_event.py
+++ b/tests/test_watch_event.py
@@ -4,6 +4,8 @@
 
 import json
 
+import pytest
+
 from quota_gateway import model
 from quota_gateway.net.watch_event import parse_watch_event
 from tests.discovery_server import message
@@ -16,3 +18,20 @@
         model.Endpoint("s1", model.EndpointHealth.HEALTHY, "a", 3, 1.5, started_at),
     )
     assert event.update.complete and event.version == 1 and event.addresses == {"s1": "10.1.0.18:7070"}
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"seq": 2, "hosts": [{"host": "s1", "health": "ready", "dial": "10.1.0.1:1", "born_ms": 1%s}]}'
+        % ("0" * 400),
+        '{"seq": 2, "hosts": [{"host": "s1", "health": "ready", "dial": "10.1.0.1:1", "block": 1e999}]}',
+        '{"seq": 1e999, "hosts": []}',
+        '{"seq": 2, "hosts": [{"host": "s1", "health": "ready", "dial": "10.1.0.1:1", "born_ms": NaN}]}',
+    ],
+    ids=["start", "cell", "version", "no number"],
+)
+def test_a_number_out_of_range_is_a_malformed_message(text: str) -> None:
+    """Any other error would end the watch, again and again at the same line."""
+    with pytest.raises(ValueError):
+        parse_watch_event(json.loads(text))
