Reject what has no time left, split a ceiling across a stall, take odd numbers for malformed

Cause: a request whose client had stopped waiting during a stall went on with 1 ms; a process that stood still refilled the whole of a ceiling for a time in which another process refilled its part (Account.set_process_count); numbers beyond the float range raised OverflowError in the watch, which ended it at the same line again and again, and in settings. Change: 503 at once for what waited too long; ProcessCountChanged says for how long nobody looked, and that time counts by the new split; such numbers are malformed lines, or settings of the wrong type. The test of the ceiling names the moment until which the process was alone.

--- a/quota_gateway/decisions/handover.py
+++ b/quota_gateway/decisions/handover.py
@@ -28,7 +28,10 @@
         """So many processes share all limits from now on; one that has come gets what this one knows."""
         has_grown = event.count > self.context.process_count
         count = self.context.process_count = max(1, event.count)
-        accounts = [account.set_process_count(now, count) for account in self.table.accounts.values()]
+        alone_until = now - event.seconds_unknown
+        accounts = [
+            account.set_process_count(now, count, alone_until) for account in self.table.accounts.values()
+        ]
         if not has_grown or self.gate.controller.integral is None:
             return
         state = HandoverState(
--- a/quota_gateway/lifecycle.py
+++ b/quota_gateway/lifecycle.py
@@ -189,13 +189,17 @@
 
 
 def _on_process_group_changed(
-    components: Components, max_sockets: int, process_count: int, suspended: frozenset[str]
+    components: Components,
+    max_sockets: int,
+    process_count: int,
+    suspended: frozenset[str],
+    seconds_unknown: float,
 ) -> None:
     """Share the descriptors with the processes that run now, and let the decisions know."""
     limits = connection_limits(max_sockets, process_count)
     components.listener.set_max_connections(limits.clients)
     components.pool.set_max_connections(limits.endpoints)
-    components.dispatcher.on_process_group_changed(process_count, suspended)
+    components.dispatcher.on_process_group_changed(process_count, suspended, seconds_unknown)
 
 
 async def _listen(components: Components, config: Config, environment: Environment) -> None:
--- a/quota_gateway/model/events.py
+++ b/quota_gateway/model/events.py
@@ -143,6 +143,7 @@
     """So many processes are this limiter now: more than one while a new version takes over."""
 
     count: int
+    seconds_unknown: float = 0.0  # for which it may have been so already: this process did not look meanwhile
 
 
 @dataclass(frozen=True, slots=True)
--- a/quota_gateway/net/dispatcher.py
+++ b/quota_gateway/net/dispatcher.py
@@ -181,11 +181,16 @@
         """An operator has sent a command; ``endpoint`` is empty where it names none."""
         self.dispatch(model.AdminRequest(self._admin_calls.add(command, on_reply), command, endpoint))
 
-    def on_process_group_changed(self, process_count: int, suspensions: frozenset[str]) -> None:
-        """The number of processes of this limiter or the suspended endpoints have changed."""
+    def on_process_group_changed(
+        self, process_count: int, suspensions: frozenset[str], seconds_unknown: float
+    ) -> None:
+        """The number of processes of this limiter or the suspended endpoints have changed.
+
+        For ``seconds_unknown`` before nobody looked.
+        """
         names = sorted(suspensions) or "none"
         log.info("processes of this limiter: %d; suspended endpoints: %s", process_count, names)
-        self.dispatch(model.ProcessCountChanged(process_count))
+        self.dispatch(model.ProcessCountChanged(process_count, seconds_unknown))
         self._pool.exclude(suspensions)
         self.dispatch(model.SuspensionsChanged(suspensions))
 
--- a/quota_gateway/net/endpoint_watch.py
+++ b/quota_gateway/net/endpoint_watch.py
@@ -140,7 +140,7 @@
             event = parse_watch_event(json.loads(line))
             if event.update.complete and not event.update.endpoints:
                 raise ValueError("an empty list: the last one is kept")  # discovery may have lost its state
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             self._event_lost = True
             self._watcher.on_malformed_line(error)
         else:
@@ -280,7 +280,7 @@
         if not self._consecutive_failures:
             log.warning("the watch on discovery ended: %s", cause)
 
-    def on_malformed_line(self, error: ValueError) -> None:
+    def on_malformed_line(self, error: Exception) -> None:
         """Count a malformed line, and log it once until a well-formed one comes."""
         if not self._malformed_line_logged:
             log.warning("dropped a malformed line of discovery: %s", error)
--- a/quota_gateway/net/process_group.py
+++ b/quota_gateway/net/process_group.py
@@ -43,7 +43,7 @@
     (errno.ENOENT, errno.ENOTDIR, errno.EROFS, errno.EACCES, errno.EPERM, errno.ELOOP)
 )
 
-OnChange = Callable[[int, frozenset[str]], None]
+OnChange = Callable[[int, frozenset[str], float], None]
 OnHandover = Callable[[model.HandoverState], None]
 
 
@@ -86,7 +86,8 @@
         self._pending_handover: PendingHandover | None = None
         self._is_handover_read = False  # and its file could not be removed
         self._poll_timer: asyncio.TimerHandle | None = None
-        self._polled_at = 0.0  # seconds of the event loop's clock
+        self._polled_at = 0.0  # seconds of the event loop's clock; 0 before the first poll
+        self._seconds_unknown = 0.0  # between the last two polls
         self._on_change: OnChange | None = None
         self._on_handover: OnHandover | None = None
 
@@ -276,8 +277,9 @@
     def watch(self, on_change: OnChange, on_handover: OnHandover) -> None:
         """Poll from now on, until ``close``.
 
-        ``on_change`` is called with the number of processes and the suspended endpoints when either changes,
-        ``on_handover`` with the state that another process has left for this one.
+        ``on_change`` is called with the number of processes, the suspended endpoints and the seconds since
+        they were looked at before, when one of the former changes; ``on_handover`` with the state that
+        another process has left for this one.
         """
         self._on_change = on_change
         self._on_handover = on_handover
@@ -296,7 +298,9 @@
         if self._poll_timer is not None:
             self._poll_timer.cancel()
         self._poll_timer = loop.call_later(POLL_INTERVAL, self._poll)
-        self._polled_at = loop.time()
+        now = loop.time()
+        self._seconds_unknown = now - self._polled_at if self._polled_at else 0.0
+        self._polled_at = now
         for step in (self._join, self._suspension_file.save, self._notify_changes, self._take_handover):
             try:
                 step()
@@ -312,7 +316,7 @@
         self._notified_process_count = process_count
         self._notified_suspensions = suspensions
         if self._on_change is not None:
-            self._on_change(process_count, suspensions)
+            self._on_change(process_count, suspensions, self._seconds_unknown)
 
     def _take_handover(self) -> None:
         state = self.read_handover()
--- a/quota_gateway/net/request_reader.py
+++ b/quota_gateway/net/request_reader.py
@@ -160,7 +160,7 @@
         self.body.upload = None
         request = connection.request_queue[-1]
         if request.response is None and request.event is not None:
-            request.event = self._without_waiting_time(request.event)
+            request.event = _without(request.event, connection.liveness.seconds_unread())
             connection.listener.handler.on_upload_completed(request)
         upload.finish()
 
@@ -183,11 +183,6 @@
             raise  # and nothing behind it is parsed
         connection.update_reading()
 
-    def _without_waiting_time(self, event: model.Request) -> model.Request:
-        """The request with the time that its client has left: it may have waited during a stall."""
-        waited = self._connection.liveness.seconds_unread()
-        return replace(event, timeout=max(MIN_TIMEOUT, event.timeout - waited)) if waited else event
-
     def _dispatch(self, request: ClientRequest) -> None:
         listener = self._connection.listener
         head = self.head
@@ -201,7 +196,13 @@
         request.forwarded_body = self.body.collected()
         head.add_framing(request, method)
         event = listener.parser.parse(method, target, head.headers, request.upload is not None)
-        event = self._without_waiting_time(event)
+        waited = self._connection.liveness.seconds_unread()
+        if waited >= event.timeout:
+            # Its client has stopped waiting, and whatever is begun now is work for nobody.
+            request.event = event
+            request.respond(503, retry_after=0.0)
+            return
+        event = _without(event, waited)
         request_id = head.headers[REQUEST_ID].lower()
         # An open request with this id is another one: outcomes must not be taken for each other's.
         if request_id in listener.open_request_ids:
@@ -211,3 +212,8 @@
         request.event = event
         request.forwarded_head = head.forwarded(method)
         listener.handler.on_request(request)
+
+
+def _without(event: model.Request, waited: float) -> model.Request:
+    """The request with the time that its client has left after so many seconds in which it was not read."""
+    return replace(event, timeout=max(MIN_TIMEOUT, event.timeout - waited)) if waited else event
--- a/quota_gateway/net/watch_event.py
+++ b/quota_gateway/net/watch_event.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Any
 
@@ -36,7 +37,7 @@
         version = int(raw["seq"])
         update = model.EndpointUpdate(tuple(endpoints), complete=bool(raw.get("whole")))
         return WatchEvent(version, update, addresses)
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
+    except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
         raise ValueError(f"not an endpoint list: {error!r:.80}") from None
 
 
@@ -48,6 +49,8 @@
         split_address(address)  # raises ValueError where it is malformed
     name = str(host["host"])
     started_at = float(host.get("born_ms") or 0) / 1000
+    if not math.isfinite(started_at):
+        raise ValueError("a start that is no time")
     weight = float(host.get("share") or 1.0)
     cell = int(host.get("block") or 0)
     zone = str(host.get("site") or "")
--- a/quota_gateway/settings_parser.py
+++ b/quota_gateway/settings_parser.py
@@ -183,9 +183,13 @@
     value = owner.get(key)
     if value is None:
         return default
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+    try:
+        number = float(value) if isinstance(value, int | float) and not isinstance(value, bool) else math.nan
+    except OverflowError:  # an integer beyond the range of a float
+        number = math.nan
+    if not math.isfinite(number):
         raise SettingsError(f"settings: {key} has the wrong type: {value!r:.60}")
-    return float(value)
+    return number
 
 
 def _choice(choices: dict[str, T], key: str, value: object) -> T:
--- a/quota_gateway/state/account.py
+++ b/quota_gateway/state/account.py
@@ -130,15 +130,24 @@
         self.guaranteed_tokens = min(self.guaranteed_capacity, self.guaranteed_tokens - units)
         self.unreported_usage += units
 
-    def set_process_count(self, now: float, process_count: int) -> AccountHandover:
-        """Split the shares among the processes of this limiter; gives what a new one may take over."""
-        self.refill(now)  # so far by the old split
+    def set_process_count(
+        self, now: float, process_count: int, alone_until: float | None = None
+    ) -> AccountHandover:
+        """Split the shares among the processes of this limiter; gives what a new one may take over.
+
+        Until ``alone_until`` (now, where it is not given) the old split surely held. From then on a new
+        process may have refilled its own part, so that this one has no more than its own either.
+        """
+        self.refill(max(self.updated_at, min(now, alone_until if alone_until is not None else now)))
         before = self.share_count
         self.share_count = self.serving_gateways * process_count
         if self.share_count <= before:
+            self.refill(now)
             return self._export(ceiling_tokens=0.0)
         self.ceiling_tokens *= before / self.share_count
-        return self._export(self.ceiling_tokens)
+        given_away = self.ceiling_tokens
+        self.refill(now)
+        return self._export(given_away)
 
     def _export(self, ceiling_tokens: float) -> AccountHandover:
         # What the counter is still to be told comes to the other process as usage of the other gateways.
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -119,7 +119,7 @@
     old.ceiling_tokens = 0.0  # used up when it stops
     new = Account(100.0, plan, "acct", 1, started_at=100.0, max_units=4.0, process_count=2)
     now = 100.0 + stalled
-    new.take_over(now, old.set_process_count(now, 2))
+    new.take_over(now, old.set_process_count(now, 2, alone_until=100.0))
     assert old.ceiling_tokens + new.ceiling_tokens <= min(CEILING_BURST, CEILING_RATE * stalled) + 1e-9
 
 
