--- a/soak/limiters.py
+++ b/soak/limiters.py
@@ -6,12 +6,12 @@
 import contextlib
 import json
 import os
-import random
 import signal
 import socket
 import sys
 import time
 from dataclasses import dataclass, field
+from itertools import cycle, islice
 from pathlib import Path
 from typing import Any
 
@@ -24,8 +24,9 @@
 
 READY_TIMEOUT = 20.0  # seconds
 COMMAND_TIMEOUT = 3.0  # seconds
-PORTS = range(12_000, 30_000)  # not those that the system gives to connections: a restart wants its port back
-PORT_TRIES = 200
+FIRST_PORT = 12_000  # below those that the system gives to connections: a restart wants its port back
+PORTS_OF_A_RUN = 1_000  # runs at the same time have other ones, by their process number
+RUNS = 18
 KILL_GRACE = 0.7  # seconds behind the longest deadline until SIGKILL follows SIGTERM
 MAX_SOCKETS = 512
 LOG_TAIL = 4000  # characters of a process's log that are kept
@@ -52,10 +53,16 @@
         return self.log_path.read_text(errors="replace")
 
 
+_first_port = FIRST_PORT + os.getpid() % RUNS * PORTS_OF_A_RUN
+_ports = cycle(range(_first_port, _first_port + PORTS_OF_A_RUN))
+
+
 def free_port() -> int:
-    """A port of loopback that nothing uses, for a listener that comes and goes; ``SoakError`` without one."""
-    for _ in range(PORT_TRIES):
-        port = random.choice(PORTS)
+    """A port of loopback that nothing uses, in turn; ``SoakError`` where all are in use.
+
+    Limiters listen beside others at one address: two that were given the same port would share its clients.
+    """
+    for port in islice(_ports, PORTS_OF_A_RUN):
         with socket.socket() as candidate, contextlib.suppress(OSError):
             candidate.bind((LOOPBACK, port))
             return port
--- a/soak/play.py
+++ b/soak/play.py
@@ -88,30 +88,30 @@
         """End a process; clients open no new connections from 0.3 s after it began to end."""
         clients = self._run.clients[slot.index]
         blocking = asyncio.get_running_loop().call_later(0.3, setattr, clients, "may_connect", False)
-        begun = time.monotonic()
         await end()
         blocking.cancel()
         clients.may_connect = False
-        self._ledger.spans.append(Span("away", slot.index, begun, time.monotonic()))
 
     async def _restart(self, slot: LimiterSlot, _trouble: Trouble) -> None:
         process = slot.current
+        begun = time.monotonic()
         if process is not None:
             await self._end(slot, lambda: slot.terminate(process))
-        await self._come_back(slot)
+        await self._come_back(slot, begun)
 
-    async def _come_back(self, slot: LimiterSlot) -> None:
-        begun = time.monotonic()
+    async def _come_back(self, slot: LimiterSlot, begun: float) -> None:
+        """Start the next process; the limiter was away since ``begun``."""
         await self._replace(slot)
         self._ledger.spans.append(Span("away", slot.index, begun, time.monotonic()))
         self._run.clients[slot.index].may_connect = True
 
     async def _kill(self, slot: LimiterSlot, trouble: Trouble) -> None:
         process = slot.current
+        begun = time.monotonic()
         if process is not None:
             await self._end(slot, lambda: slot.kill(process))
         await asyncio.sleep(trouble.duration * 0.5)
-        await self._come_back(slot)
+        await self._come_back(slot, begun)
 
     async def _stop(self, slot: LimiterSlot, trouble: Trouble) -> None:
         process = slot.current
@@ -137,8 +137,9 @@
             self._ledger.spans.append(Span("stopped", slot.index, begun, time.monotonic()))
             await ending
 
+        begun = time.monotonic()
         await self._end(slot, end)
-        await self._come_back(slot)
+        await self._come_back(slot, begun)
 
     async def _reload(self, slot: LimiterSlot, _trouble: Trouble) -> None:
         process = slot.current
@@ -189,8 +190,9 @@
             await slot.terminate(new)
             await first
 
+        begun = time.monotonic()
         await self._end(slot, end)
-        await self._come_back(slot)
+        await self._come_back(slot, begun)
 
     async def _upgrade_stopped(self, slot: LimiterSlot, trouble: Trouble) -> None:
         old = slot.current
