Failing tests: errors that no module expects end what everything waits for

Cause: read for docs/PROMISES.md: an exception other than OSError in a connect leaves an attempt without an end and a place of the pool taken, ends all connecting to the counter, or all following of discovery.

--- /dev/null
+++ b/tests/test_unexpected_errors.py
@@ -0,0 +1,113 @@
+"""Errors that no module expects: what depends on the call goes on, and whoever waits for it is told."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from types import ModuleType
+from typing import Any
+
+import pytest
+
+from quota_gateway.model import CallStatus
+from quota_gateway.net import connection_pool, counter_connector, endpoint_watch
+from quota_gateway.net.counter_client import CounterClient
+from quota_gateway.net.endpoint_watch import EndpointWatcher
+from quota_gateway.net.invariants import Invariant, Violation
+from tests.loopback import ScriptedEndpoint, running_server
+from tests.pool_harness import PoolHarness, async_test
+
+
+class UnexpectedError(Exception):
+    """What a library raises that promises other errors."""
+
+
+def fail_first_connect(monkeypatch: pytest.MonkeyPatch, module: ModuleType) -> list[int]:
+    """Have the first connect that the module makes raise; gives the calls so far."""
+    calls = list[int]()
+
+    class FailingLoop:
+        """The running event loop with another ``create_connection``."""
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(asyncio.get_running_loop(), name)
+
+        async def create_connection(self, *args: Any) -> Any:
+            calls.append(len(calls))
+            if len(calls) == 1:
+                raise UnexpectedError
+            return await asyncio.get_running_loop().create_connection(*args)
+
+    class Asyncio:
+        """The asyncio module with that event loop."""
+
+        get_running_loop = FailingLoop
+
+        def __getattr__(self, name: str) -> Any:
+            return getattr(asyncio, name)
+
+    monkeypatch.setattr(module, "asyncio", Asyncio())
+    return calls
+
+
+@async_test
+async def test_an_attempt_whose_connect_raises_ends_and_leaves_its_place(
+    monkeypatch: pytest.MonkeyPatch, no_violations: list[Violation]
+) -> None:
+    async with (
+        running_server(ScriptedEndpoint().handle_connection) as address,
+        PoolHarness(address, max_connections=1) as harness,
+    ):
+        fail_first_connect(monkeypatch, connection_pool)
+        async with asyncio.timeout(2.0):
+            assert (await harness.fetch(timeout=5.0)).status is CallStatus.NOT_SENT
+            assert (await harness.fetch(timeout=5.0)).status is CallStatus.OK
+    assert [violation.invariant for violation in no_violations] == [Invariant.STARTED_COMPLETELY]
+    no_violations.clear()
+
+
+@async_test
+async def test_the_counter_is_connected_to_again_after_a_connect_that_raises(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connected = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+        connected.set()
+        await reader.read()
+
+    async with running_server(serve) as address:
+        host, port = address.split(":")
+        fail_first_connect(monkeypatch, counter_connector)
+        client = CounterClient(host, int(port), 1.0, Random(1))
+        client.start()
+        async with asyncio.timeout(3.0):
+            await connected.wait()
+        client.close()
+
+
+@async_test
+async def test_discovery_is_followed_on_after_an_error_of_the_watcher(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    polled = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+        polled.set()
+        await reader.read()
+
+    failures = iter([UnexpectedError()])
+
+    def fail_once(*_args: Any, **_options: Any) -> float:
+        for failure in failures:
+            raise failure
+        return 0.0
+
+    monkeypatch.setattr(endpoint_watch, "poll_delay", fail_once)
+    async with running_server(serve) as address:
+        host, port = address.split(":")
+        watcher = EndpointWatcher(host, int(port), None, lambda _event: None)
+        following = asyncio.create_task(watcher.follow())
+        async with asyncio.timeout(3.0):
+            await polled.wait()
+        following.cancel()
