Go on after errors that no module expects, and tell whoever waits

Cause: _connect of the pool and of the counter's connector, and EndpointWatcher.follow, caught the errors that they expect; any other ended the task: an attempt without an end and its place taken, no counter, no discovery. Change: each logs the error and goes on; the attempt ends as not sent and is a violation (started_completely). A receive buffer that cannot be set no longer breaks a streamed response.

--- a/quota_gateway/net/connection_pool.py
+++ b/quota_gateway/net/connection_pool.py
@@ -144,6 +144,15 @@
         return self._endpoints.open_connections < self._max_connections or self._endpoints.evict_idle()
 
     async def _connect(self, endpoint: UpstreamEndpoint, exchange: Exchange) -> None:
+        """Open a connection for an exchange; whatever goes wrong, the exchange ends."""
+        try:
+            await self._open_and_send(endpoint, exchange)
+        except Exception:
+            log.exception("a connection to %s could not be opened", endpoint.name)
+            self._metrics.invariants.report(Invariant.STARTED_COMPLETELY, describe_attempt(0, exchange))
+            self._give_up(exchange, CallStatus.NOT_SENT)
+
+    async def _open_and_send(self, endpoint: UpstreamEndpoint, exchange: Exchange) -> None:
         self._connection_count += 1
         connection = UpstreamConnection(self, endpoint, self._connection_count)
         loop = asyncio.get_running_loop()
@@ -155,6 +164,9 @@
             if connection.transport is None:  # no connection_lost will count it off
                 self._endpoints.count_closed(endpoint)
             return self.complete(exchange, _connect_failure(error))
+        except Exception:
+            self._endpoints.count_closed(endpoint)
+            raise
         if exchange.completed:
             self.release(connection, True)  # nothing was written on it
         elif connection.transport is None:  # it was connected and broke before this task ran again
--- a/quota_gateway/net/counter_connector.py
+++ b/quota_gateway/net/counter_connector.py
@@ -73,6 +73,10 @@
         except (OSError, TimeoutError) as error:
             self._on_failure(error)
             connection.abort()
+        except Exception as error:
+            log.exception("connecting to the counter failed unexpectedly")
+            self._on_failure(error)
+            connection.abort()
         except asyncio.CancelledError:
             connection.abort()  # whoever cancelled the task has dropped it already
         else:
@@ -82,7 +86,7 @@
             connection.last_used_at = self._loop.time()
             self._on_connected(connection)
 
-    def _on_failure(self, error: OSError) -> None:
+    def _on_failure(self, error: Exception) -> None:
         if not self._failure_logged:  # one line for consecutive failures
             log.warning("no connection to the counter: %r", error)
         self._failure_logged = True
--- a/quota_gateway/net/endpoint_watch.py
+++ b/quota_gateway/net/endpoint_watch.py
@@ -29,6 +29,7 @@
 # it, but not more often than this (seconds): the line may stay malformed.
 RESTART_INTERVAL = 10.0
 LOG_INTERVAL = 10.0  # seconds between log lines on the watch
+RECOVERY_DELAY = 0.5  # seconds after an unexpected error
 MAX_LINE_LENGTH = 4 * 1024 * 1024  # bytes
 READ_SIZE = 65536  # bytes
 HTTP_OK = 200
@@ -218,7 +219,12 @@
         elapsed = 0.0
         try:
             while True:
-                request = await self._poll(elapsed)
+                try:
+                    request = await self._poll(elapsed)
+                except Exception:
+                    log.exception("following discovery failed")  # and has to go on
+                    await asyncio.sleep(RECOVERY_DELAY)
+                    continue
                 lifetime = loop.time() - request.started_at
                 if lifetime > MIN_WATCH_LIFETIME and request.received_event:
                     self._consecutive_failures = 0
--- a/quota_gateway/net/upstream_connection.py
+++ b/quota_gateway/net/upstream_connection.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from typing import TYPE_CHECKING, Protocol
 
@@ -173,7 +174,8 @@
         self._owner.streaming_connections.add(self)
         if self.transport is not None:
             raw_socket = self.transport.get_extra_info("socket")
-            raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, STREAM_RECEIVE_BUFFER)
+            with contextlib.suppress(OSError):  # it only bounds what the system holds
+                raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, STREAM_RECEIVE_BUFFER)
         wanted = exchange.on_response_started(exchange, stream)
         self._owner.complete(exchange, CallStatus.OK)
         if not wanted:
