--- /dev/null
+++ b/tests/test_stall_detector.py
@@ -0,0 +1,38 @@
+"""Since when what is read may have waited."""
+
+from __future__ import annotations
+
+from quota_gateway.net.stall_detector import AFTERMATH, HEARTBEAT_INTERVAL, StallDetector
+
+
+def test_while_the_event_loop_runs_nothing_has_waited_longer_than_a_turn() -> None:
+    stalls = StallDetector(100.0)
+    now = 100.0
+    for _ in range(30):
+        now += HEARTBEAT_INTERVAL
+        stalls.mark(now)
+    stalls.mark(now)  # a second mark of the same turn
+    assert stalls.unread_since(now) == now - HEARTBEAT_INTERVAL
+    assert not stalls.is_after_stall(now)
+
+
+def test_after_the_start_what_is_read_may_have_waited_for_it() -> None:
+    stalls = StallDetector(100.0)
+    stalls.mark(100.1)
+    assert stalls.is_after_stall(100.1) and stalls.unread_since(100.1) < 50.0
+    assert not stalls.is_after_stall(100.0 + AFTERMATH)
+
+
+def test_a_stall_behind_another_one_does_not_hide_it() -> None:
+    """Not all that waited for the end of the first one is read before the second one begins."""
+    stalls = StallDetector(0.0)
+    for step in range(1, 51):
+        stalls.mark(0.1 * step)
+    stalls.mark(8.0)  # it stood still from 5.0 on
+    stalls.mark(8.5)
+    assert stalls.unread_since(8.5) == 5.0
+    stalls.mark(8.6)
+    assert stalls.unread_since(8.6) == 5.0
+    for step in range(1, 20):
+        stalls.mark(8.6 + 0.1 * step)
+    assert stalls.unread_since(10.5) > 10.0
