Remember a stall until what waited for its end is read

Cause: StallDetector.mark let each stall begin at the last mark, also within the second in which what an earlier one had held up is still read; and it was made long before the process listened. Change: a stall within that second begins where the earlier one did; the detector begins when the listener listens.

--- a/quota_gateway/net/listener.py
+++ b/quota_gateway/net/listener.py
@@ -68,6 +68,7 @@
         self._is_inherited = inherited is not None
         listening = inherited or await create_listening_socket(host, port, reuse_port=beside)
         self._acceptor = Acceptor(listening, self._new_connection, self._on_accept_error)
+        self.stalls = StallDetector(self.clock())  # from now on clients are served
         self._scan()
         self._beat()
         return self._acceptor.address
--- a/quota_gateway/net/stall_detector.py
+++ b/quota_gateway/net/stall_detector.py
@@ -28,7 +28,9 @@
         if now <= self._marked_at:
             return
         if now - self._marked_at > STALL:
-            self._stall_began = self._marked_at
+            # Not all that waited for the end of a stall is read when the next one begins.
+            if not self.is_after_stall(self._marked_at):
+                self._stall_began = self._marked_at
             self._stall_ended = now
         self._previous_mark = self._marked_at
         self._marked_at = now
