--- a/soak/judge.py
+++ b/soak/judge.py
@@ -36,6 +36,11 @@
 SUSPENSION_LIMIT = 1.0  # seconds
 TOLD_BY = 6.0  # seconds after discovery had a change, whatever went wrong
 TOLD_IN_QUIET = 0.5  # seconds, with nothing wrong
+# Troubles and states of a limiter in which news may reach it later.
+NEWS_TROUBLES = (
+    "discovery_silent", "discovery_down", "discovery_pieces", "moving", "stopped", "away", "start", "term",
+    "connect_fails", "socket_fails", "reads_fail", "short_transfers",
+)  # fmt: skip
 COUNT_SHARE = 0.01
 COUNT_SLACK = 3
 FEW_CALLS = 30  # under which the budget of a server in slow start has more slack
@@ -179,7 +184,7 @@
 
 def _told_by(ledger: Ledger, limiter: int, at: float) -> float:
     """When a limiter counts as told of a change; with any trouble around, at the latest moment."""
-    if not ledger.is_touched(limiter, at - 0.5, at + TOLD_BY):
+    if not ledger.is_touched(limiter, at - 0.5, at + TOLD_BY, *NEWS_TROUBLES):
         return at + TOLD_IN_QUIET
     spans = [span for span in ledger.spans if span.kind == "discovery_down" and span.limiter == limiter]
     back = max((span.end for span in spans if span.start <= at + TOLD_BY and span.end >= at), default=at)
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -86,6 +86,8 @@
     ledger = make_ledger(REQUEST, RECEIPT)
     ledger.publications.append(Publication(7.2, "s-1", "draining", 0))
     assert rules_broken(ledger) == ["drain"]
+    ledger.spans.append(Span("counter_down", 0, 7.0, 8.0))
+    assert rules_broken(ledger) == ["drain"]
     ledger.spans.append(Span("discovery_silent", 0, 7.0, 8.0))  # then it is told later
     assert rules_broken(ledger) == []
 
