--- a/soak/judge.py
+++ b/soak/judge.py
@@ -128,6 +128,8 @@
 def _duplicate(
     ledger: Ledger, request: ClientRequest, origin: Receipt, first: Receipt, second: Receipt
 ) -> str:
+    if request.resent and ledger.is_touched(request.limiter, first.first_byte_at, second.complete_at, "kill"):
+        return ""  # its client cannot tell a kill from a close that crossed it, and sent it again itself
     if request.request_class == "post":
         return "an unsafe request ran twice"
     slack = _slack(ledger, second.complete_at)
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -64,6 +64,9 @@
 def test_an_unsafe_request_that_ran_twice_is_found() -> None:
     second = replace(RECEIPT, endpoint="s-2", first_byte_at=10.3, complete_at=10.3, told_timeout=0.6)
     assert rules_broken(make_ledger(REQUEST, RECEIPT, second)) == ["duplicate"]
+    resent = make_ledger(replace(REQUEST, resent=True), RECEIPT, second)
+    resent.spans.append(Span("kill", 0, 10.1, 10.2))
+    assert rules_broken(resent) == []
     turned_away = replace(RECEIPT, executed=False)
     assert rules_broken(make_ledger(REQUEST, turned_away, second)) == []
 
