Failing test: two processes keep no more descriptors than one had

Cause: read for docs/PROMISES.md: with the smallest limit of 256 descriptors 104 clients of the old process and 64 of the new one, 40 connections to endpoints each and their reserves come to more than 256 (connection_limits).

--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -7,7 +7,7 @@
 
 from quota_gateway import model
 from quota_gateway.net.client_connection import ClientConnection
-from tests.client_helpers import has_ended, reject
+from tests.client_helpers import has_ended, on_timer, reject
 from tests.loopback import LoopbackLimiter, ScriptedDecisions, async_test, http_request, read_message
 
 
@@ -87,3 +87,27 @@
         second, _ = await asyncio.open_connection(sock=clients[1])
         assert " 429 " in (await read_message(first))[0]
         assert await second.read() == b""
+
+
+@async_test
+async def test_idle_clients_beyond_a_lower_limit_are_closed_and_busy_ones_are_served() -> None:
+    """Another process shares the descriptors from now on: together they have no more than one had."""
+    script = ScriptedDecisions(lambda _event: [])
+    async with LoopbackLimiter(script, {}) as limiter:
+        busy_reader, busy = await limiter.connect()
+        busy.write(http_request())
+        (request,) = await script.wait_for(model.Request)
+        silent = [await limiter.connect() for _ in range(20)]
+        while len(limiter.listener.connections) < 21:
+            await asyncio.sleep(0)
+        limiter.listener.set_max_connections(8)
+        while len(limiter.listener.connections) > 8:
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(0.05)
+        assert len(limiter.listener.connections) == 8  # and no more than that were closed
+        assert sum(reader.at_eof() for reader, _ in silent) == 13
+        script.decide = on_timer([model.Reject(request.id, 0.1)])
+        limiter.dispatcher.dispatch(model.TimerFired(1))
+        assert " 429 " in (await read_message(busy_reader))[0]
+        for _, writer in silent:
+            writer.close()
