--- a/quota_gateway/net/connection_closing.py
+++ b/quota_gateway/net/connection_closing.py
@@ -53,6 +53,12 @@
         """Whether the connection is half-closed and its input still discarded."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the transport is closed, or will be in this turn of the event loop or the next."""
+        transport = self._connection.transport or self._transport
+        return transport is None or transport.is_closing()
+
     @property
     def has_unread_input(self) -> bool:
         """Whether a request was received that the event loop has not read: a close would lose it."""
--- a/quota_gateway/net/listener.py
+++ b/quota_gateway/net/listener.py
@@ -12,6 +12,7 @@
 from quota_gateway.net.client_connection import ClientConnection
 from quota_gateway.net.client_request import RequestHandler
 from quota_gateway.net.client_stats import ClientStats, CloseReason
+from quota_gateway.net.connection_closing import ConnectionCloser
 from quota_gateway.net.metrics import Metrics
 from quota_gateway.net.request_parser import RequestParser
 from quota_gateway.net.stall_detector import HEARTBEAT_INTERVAL, StallDetector
@@ -88,13 +89,17 @@
         self.connections[client] = None
 
     def _evict_one(self) -> bool:
+        return any(closer.evict() for closer in self._eviction_candidates())
+
+    def _eviction_candidates(self) -> list[ConnectionCloser]:
+        """The connections that may be evicted, the first one first."""
         candidates = [
             (order, client.closer)
             for client in self.connections
             if (order := client.closer.eviction_order) is not None
         ]
         candidates.sort(key=lambda candidate: candidate[0])
-        return any(closer.evict() for _, closer in candidates)
+        return [closer for _, closer in candidates]
 
     def disconnected(self, client: ClientConnection) -> None:
         """Forget a connection."""
@@ -132,11 +137,17 @@
         self.draining = True
 
     def set_max_connections(self, max_connections: int) -> None:
-        """Set another limit, while another process serves the other connections.
+        """Set another limit, while another process serves the other connections; evict what is beyond it.
 
         The crowded share stays: clients leave the old process for good then, and would only connect twice.
         """
         self._max_connections = max_connections
+        open_connections = sum(not client.closer.is_closed for client in self.connections)
+        excess = open_connections - max_connections
+        for closer in self._eviction_candidates():
+            if excess <= 0:
+                return
+            excess -= closer.evict()
 
     async def stop_accepting(self) -> None:
         """Accept no more connections; an inherited socket stays with whoever else holds it.
