Soak test: troubles of processes, endpoints, services and system in modules of their own

Change: ProcessTroubles, EndpointTroubles, ServiceTroubles, SystemTroubles; a test that each kind has what plays it.

--- a/tests/test_soak_plan.py
+++ b/tests/test_soak_plan.py
@@ -7,8 +7,10 @@
 import pytest
 
 from soak.cli import EXIT_CLEAN, EXIT_NO_VERDICT, main
+from soak.limiter_troubles import ServiceTroubles
 from soak.plan import QUIET_SECONDS, WARM_UP_SECONDS, make_plan
-from soak.troubles import TROUBLES, Target
+from soak.process_troubles import ProcessTroubles
+from soak.troubles import TROUBLES, Family, Target
 
 
 def test_a_plan_follows_from_its_seed_alone() -> None:
@@ -60,3 +62,13 @@
 def test_a_plan_can_be_printed_without_playing_it(capsys: pytest.CaptureFixture[str]) -> None:
     assert main(["--seed", "3", "--plan"]) == EXIT_CLEAN
     assert capsys.readouterr().out.startswith("seed 3: 24 limiters")
+
+
+def test_each_trouble_of_a_limiter_has_what_plays_it() -> None:
+    kinds = {
+        Family.PROCESS: ProcessTroubles,
+        Family.NETWORK: ServiceTroubles,
+    }
+    for name, spec in TROUBLES.items():
+        if spec.target is Target.LIMITERS and spec.family in kinds:
+            assert callable(getattr(kinds[spec.family], name))
