Split handover files and the accepting announcement from the process group

Change: HandoverFiles and AcceptingFile in modules of their own; an announcement that failed is tried again at each poll by itself. Bytes on disk as before (tests/test_wire_formats.py). Measured: the tests of the group, of the failing folder, of upgrades, wire formats, admin and lifecycle pass.

--- a/quota_gateway/net/process_group.py
+++ b/quota_gateway/net/process_group.py
@@ -12,14 +12,13 @@
 import logging
 import os
 import secrets
-import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 
 from quota_gateway import model
-from quota_gateway.net.handover_codec import HandoverFormatError, decode_handover, encode_handover
-from quota_gateway.net.shared_files import FileLock, replace_file
+from quota_gateway.net.accepting_file import AcceptingFile, accepting_path, is_accepting
+from quota_gateway.net.handover_files import HandoverFiles, handover_path, temporary_path
+from quota_gateway.net.shared_files import FileLock
 from quota_gateway.net.suspension_file import FILE_NAME as SUSPENSION_FILE_NAME
 from quota_gateway.net.suspension_file import SuspensionFile
 
@@ -32,10 +31,6 @@
 MAX_ENCODED_NAME = 64  # characters of the limiter's name in the folder's, encoded in hexadecimal
 PROCESS_FILE_PREFIX = "process-"
 PROCESS_TOKEN_BYTES = 4  # random, since process numbers are used again
-HANDOVER_FILE_PREFIX = "notes-for-"  # followed by the process file of the one that is to read it
-MAX_HANDOVER_SIZE = 4 * 1024 * 1024  # bytes that are read
-HANDOVER_RETRY_TIME = 5.0  # seconds in which a handover that could not be written is tried again
-ACCEPTING_FILE_PREFIX = "accepting-"  # followed by the process file of one that accepts clients
 UNKNOWN_PROCESS = "unknown"  # stands for a process that may run and cannot be seen
 LATE_POLL = 0.3  # seconds without a poll after which this process has stood still
 # With these no process can ever have a folder there, so that this one is alone.
@@ -47,15 +42,6 @@
 OnHandover = Callable[[model.HandoverState], None]
 
 
-@dataclass(frozen=True, slots=True)
-class PendingHandover:
-    """A handover that is not written yet."""
-
-    successor: str  # process file
-    state: model.HandoverState
-    made_at: float  # seconds of the monotonic clock
-
-
 class ProcessGroup:
     """This process's membership in the group. Without a folder that can ever be written it is alone.
 
@@ -68,12 +54,11 @@
 
         ``clock_offset`` is this process's Unix time less its monotonic time.
         """
-        self._clock_offset = clock_offset
         self._process_file = self._new_process_file()
         self._folder: Path | None = None
         self._liveness_lock: FileLock | None = None
-        self._accepting_lock: FileLock | None = None
-        self._is_accepting = False
+        self._accepting = AcceptingFile()
+        self._handover = HandoverFiles(clock_offset)
         self._running = list[str]()  # process files of the others, as they were seen last
         if folder is not None:
             # By name: where several limiters are given one folder, their suspensions must not mix.
@@ -82,9 +67,6 @@
         self._suspension_file = SuspensionFile(self._folder, self._process_file)
         self._notified_process_count = 1
         self._notified_suspensions = frozenset[str]()
-        self._successors = set[str]()  # process files of those that were left a handover state
-        self._pending_handover: PendingHandover | None = None
-        self._is_handover_read = False  # and its file could not be removed
         self._poll_timer: asyncio.TimerHandle | None = None
         self._polled_at = 0.0  # seconds of the event loop's clock; 0 before the first poll
         self._seconds_unknown = 0.0  # between the last two polls
@@ -102,7 +84,6 @@
         try:
             self._folder.mkdir(mode=FOLDER_MODE, exist_ok=True)
             self._liveness_lock = self._lock_process_file(self._folder)
-            self._announce()
         except OSError as error:
             if error.errno in PERMANENT_ERRORS:
                 log.error("nothing can be shared with another process: %s", error)
@@ -155,48 +136,27 @@
             log.warning("cannot look at another process: %s", error)
             return True
 
-    @staticmethod
-    def _handover_path(folder: Path, process_file: str) -> Path:
-        return folder / f"{HANDOVER_FILE_PREFIX}{process_file}"
-
     # Who accepts clients
 
     def announce_accepting(self) -> None:
         """Let the others know that this process accepts clients, until ``withdraw_accepting``."""
-        self._is_accepting = True
-        try:
-            self._announce()
-        except OSError as error:
-            log.warning("cannot announce yet that clients are accepted: %s", error)
+        self._accepting.is_wanted = True
+        self._announce()
 
     def _announce(self) -> None:
-        if self._is_accepting and self._accepting_lock is None and self._liveness_lock is not None:
-            assert self._folder is not None
-            self._accepting_lock = FileLock(self._folder / f"{ACCEPTING_FILE_PREFIX}{self._process_file}")
+        if self._folder is not None and self._liveness_lock is not None:
+            self._accepting.write(self._folder, self._process_file)
 
     def withdraw_accepting(self) -> None:
         """This process is about to accept no more."""
-        self._is_accepting = False
-        if self._accepting_lock is not None and self._folder is not None:
-            with contextlib.suppress(OSError):
-                (self._folder / f"{ACCEPTING_FILE_PREFIX}{self._process_file}").unlink(missing_ok=True)
-            self._accepting_lock.close()
-        self._accepting_lock = None
+        self._accepting.withdraw(self._folder, self._process_file)
 
     def has_accepting_peer(self) -> bool:
         """Whether another process surely accepts clients: one that is starting or ending does not."""
-        return any(self._accepts(process) for process in self._other_processes())
-
-    def _accepts(self, process: str) -> bool:
-        assert self._folder is not None
-        path = self._folder / f"{ACCEPTING_FILE_PREFIX}{process}"
-        try:
-            if not path.exists():
-                return False
-            with FileLock(path) as lock:
-                return not lock.acquired
-        except OSError:
-            return False
+        folder = self._folder
+        return folder is not None and any(
+            is_accepting(folder, process) for process in self._other_processes()
+        )
 
     # Handover
 
@@ -205,52 +165,13 @@
 
         A part of a ceiling may go to one process alone, and only once. A write that fails is tried again.
         """
-        joined = [process for process in self._other_processes() if process not in self._successors]
-        if self._folder is None or len(joined) != 1 or joined[0] == UNKNOWN_PROCESS:
-            return
-        self._successors.add(joined[0])
-        self._pending_handover = PendingHandover(joined[0], state, time.monotonic())
-        self._write_pending_handover()
-
-    def _write_pending_handover(self) -> None:
-        pending = self._pending_handover
-        if pending is None or self._folder is None:
-            return
-        temporary = self._folder / f"{HANDOVER_FILE_PREFIX}{self._process_file}.new"
-        try:
-            text = encode_handover(pending.state, self._clock_offset)
-            replace_file(self._handover_path(self._folder, pending.successor), text, temporary=temporary)
-            self._pending_handover = None
-        except OSError as error:
-            log.warning("the handover state could not be written: %s", error)
-            if time.monotonic() - pending.made_at > HANDOVER_RETRY_TIME:
-                self._pending_handover = None  # the other process takes none any more
+        successor = self._handover.new_successor(self._other_processes())
+        if self._folder is not None and successor is not None and successor != UNKNOWN_PROCESS:
+            self._handover.leave(self._folder, self._process_file, successor, state)
 
     def read_handover(self) -> model.HandoverState | None:
-        """The state that another process has left for this one; None where there is none or malformed.
-
-        It is read once: a part of a ceiling must not be taken twice.
-        """
-        if self._folder is None or self._is_handover_read:
-            return None
-        path = self._handover_path(self._folder, self._process_file)
-        try:
-            with path.open("rb") as file:
-                data = file.read(MAX_HANDOVER_SIZE)
-        except FileNotFoundError:
-            return None
-        except OSError as error:
-            log.warning("the handover state of another process cannot be read yet: %s", error)
-            return None
-        try:
-            path.unlink()
-        except OSError:
-            self._is_handover_read = True
-        try:
-            return decode_handover(data, self._clock_offset)
-        except HandoverFormatError as error:
-            log.warning("the handover state of another process is malformed: %s", error)
-            return None
+        """The state that another process has left for this one; None where there is none or malformed."""
+        return None if self._folder is None else self._handover.take(self._folder, self._process_file)
 
     # Suspensions
 
@@ -301,12 +222,23 @@
         now = loop.time()
         self._seconds_unknown = now - self._polled_at if self._polled_at else 0.0
         self._polled_at = now
-        for step in (self._join, self._suspension_file.save, self._notify_changes, self._take_handover):
+        steps = (
+            self._join,
+            self._announce,
+            self._suspension_file.save,
+            self._notify_changes,
+            self._take_handover,
+            self._write_handover,
+        )
+        for step in steps:
             try:
                 step()
             except Exception:
                 log.exception("a poll of the other processes failed")
-        self._write_pending_handover()
+
+    def _write_handover(self) -> None:
+        if self._folder is not None:
+            self._handover.write_pending(self._folder, self._process_file)
 
     def _notify_changes(self) -> None:
         process_count = self.count_processes()
@@ -339,9 +271,9 @@
 def _files_of(folder: Path, process_file: str) -> tuple[Path, ...]:
     """All files that a process may have left, half-written ones included; its own file last."""
     return (
-        folder / f"{ACCEPTING_FILE_PREFIX}{process_file}",
-        folder / f"{HANDOVER_FILE_PREFIX}{process_file}",
-        folder / f"{HANDOVER_FILE_PREFIX}{process_file}.new",
+        accepting_path(folder, process_file),
+        handover_path(folder, process_file),
+        temporary_path(folder, process_file),
         folder / f"{SUSPENSION_FILE_NAME}.{process_file}",
         folder / process_file,
     )
