--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -111,6 +111,8 @@
         ledger.requests[request.id] = request
         ledger.receipts[request.id] = [replace(RECEIPT, id=request.id, incarnation=1)]
     assert rules_broken(ledger) == ["failback"]
+    ledger.spans.append(Span("discovery_silent", -1, 8.5, 9.5))  # nobody had to know of it
+    assert rules_broken(ledger) == []
 
 
 def test_the_budget_of_a_cold_endpoint_grows_with_its_age() -> None:
