--- a/soak/judge.py
+++ b/soak/judge.py
@@ -274,8 +274,8 @@
             told = sum(_was_told(ledger, publication, receipt) for receipt in window)
             if told > TOLD_SHARE * len(window):
                 text = (
-                    f"{publication.endpoint} got {len(window)} requests within {OVERLOAD_WINDOW:.0f} s, {told} "
-                    f"from limiters told, {age:.2f} s after its start; {allowed:.1f} are allowed"
+                    f"{publication.endpoint} got {len(window)} requests within {OVERLOAD_WINDOW:.0f} s, "
+                    f"{told} from limiters told, {age:.2f} s after its start; {allowed:.1f} are allowed"
                 )
                 yield Break("failback", last.complete_at, text)
             return
