--- a/soak/fault_control.py
+++ b/soak/fault_control.py
@@ -49,6 +49,14 @@
 FOLDER_ERRNO = Field(48, "=i")
 FOLDER_CALLS = Field(52, "=i")
 SIZE = 56
+RESET_AT_THE_END = (
+    ACCEPT_FAILURES,
+    SOCKET_FAILURES,
+    CONNECT_FAILURES,
+    READ_FAILURES,
+    INTERRUPTED_WAITS,
+    MAX_TRANSFER,
+)  # of a trouble: failures that were not used up must not outlast it
 
 
 def build_library(folder: Path) -> Path:
--- a/soak/limiter_troubles.py
+++ b/soak/limiter_troubles.py
@@ -94,7 +94,8 @@
         else:
             self._fail_folder(slot, kind)
         await asyncio.sleep(trouble.duration)
-        control.set(fault_control.MAX_TRANSFER, 0)
+        for field in fault_control.RESET_AT_THE_END:
+            control.set(field, 0)
         control.fail_folder(0, FolderCalls.NONE)
 
     def _fail(
