Judge of the soak test: rules on requests, endpoints and processes in modules of their own

Change: verdict.py (a break, slack, what excuses), request_rules.py, endpoint_rules.py, process_rules.py; the judge lists them.

--- a/soak/story.py
+++ b/soak/story.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from soak.judge import Break
 from soak.ledger import ClientRequest, Ledger, Receipt
+from soak.verdict import Break
 
 NOTE_WINDOW = 3.0  # seconds around the moment, of which the runner's notes are shown
 LOG_MENTIONS = 8  # lines of the limiters' logs that name the request
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from soak.judge import budget, judge
+from soak.endpoint_rules import budget
+from soak.judge import judge
 from soak.ledger import (
     BadClient,
     ClientRequest,
