Failing test: an attempt that raises behind its write

Cause: read once more before the landing: the handlers of unexpected errors call every attempt not sent, also one whose request is written already; not sent proves that it never ran, and an unsafe repeat would follow.

--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -9,12 +9,20 @@
 
 import pytest
 
+from quota_gateway import model
 from quota_gateway.model import CallStatus
-from quota_gateway.net import connection_pool, counter_connector, endpoint_watch
+from quota_gateway.net import connection_pool, counter_connector, endpoint_watch, upstream_endpoint
 from quota_gateway.net.counter_client import CounterClient
 from quota_gateway.net.endpoint_watch import EndpointWatcher
 from quota_gateway.net.invariants import Invariant, Violation
-from tests.loopback import ScriptedEndpoint, running_server
+from tests.loopback import (
+    LoopbackLimiter,
+    ScriptedDecisions,
+    ScriptedEndpoint,
+    forward_to_s1,
+    http_request,
+    running_server,
+)
 from tests.pool_harness import PoolHarness, async_test
 
 
@@ -111,3 +119,31 @@
         async with asyncio.timeout(3.0):
             await polled.wait()
         following.cancel()
+
+
+@pytest.mark.parametrize("on_reused_connection", [True, False])
+@async_test
+async def test_an_attempt_that_raises_behind_its_write_may_have_been_executed(
+    on_reused_connection: bool, monkeypatch: pytest.MonkeyPatch, no_violations: list[Violation]
+) -> None:
+    """To call it not sent would allow an unsafe repeat."""
+    monkeypatch.setattr(upstream_endpoint, "SETTLE_DELAY", 0.0)
+    script = ScriptedDecisions(forward_to_s1)
+    async with (
+        running_server(ScriptedEndpoint().handle_connection) as address,
+        LoopbackLimiter(script, {"s1": address}) as limiter,
+    ):
+        if on_reused_connection:
+            assert " 200 " in (await limiter.fetch(http_request()))[0]
+
+        def fail(_exchange: object) -> None:
+            raise UnexpectedError
+
+        monkeypatch.setattr(limiter.pool, "record_request_written", fail)
+        _, writer = await limiter.connect()
+        writer.write(http_request("/post?account=00000000b4d65521", b"abc"))
+        completed = await script.wait_for(model.AttemptCompleted, 1 + on_reused_connection)
+        assert completed[-1].status not in model.PROVES_NOT_EXECUTED
+        writer.close()
+    assert {violation.invariant for violation in no_violations} == {Invariant.STARTED_COMPLETELY}
+    no_violations.clear()
