Take an attempt that fails unexpectedly behind its write for possibly executed

Cause: RequestTable._start and ConnectionPool._connect called it not sent, wherever the error came from. Change: ConnectionPool.fail: once a connection carries the attempt it ends as cancelled, which proves nothing, and its connection is closed; before that it is not sent.

--- a/quota_gateway/net/connection_pool.py
+++ b/quota_gateway/net/connection_pool.py
@@ -126,6 +126,11 @@
         """Stop waiting; the connection is closed, so that no late response meets another request."""
         self._give_up(exchange, CallStatus.CANCELLED)
 
+    def fail(self, exchange: Exchange) -> None:
+        """End an exchange after an unexpected error; once a connection carries it, it may be executed."""
+        is_sent = exchange.connection is not None
+        self._give_up(exchange, CallStatus.CANCELLED if is_sent else CallStatus.NOT_SENT)
+
     def complete(self, exchange: Exchange, status: CallStatus) -> None:
         """Report how an exchange ended; further calls do nothing."""
         if exchange.completed:
@@ -150,7 +155,7 @@
         except Exception:
             log.exception("a connection to %s could not be opened", endpoint.name)
             self._metrics.invariants.report(Invariant.STARTED_COMPLETELY, describe_attempt(0, exchange))
-            self._give_up(exchange, CallStatus.NOT_SENT)
+            self.fail(exchange)
 
     async def _open_and_send(self, endpoint: UpstreamEndpoint, exchange: Exchange) -> None:
         self._connection_count += 1
--- a/quota_gateway/net/request_table.py
+++ b/quota_gateway/net/request_table.py
@@ -176,7 +176,7 @@
             log.exception("an attempt could not be started")
             story = describe_request(opened.request.request_id, opened.event, opened.attempts)
             self._invariants.report(Invariant.STARTED_COMPLETELY, story)
-            self._pool.complete(attempt, model.CallStatus.NOT_SENT)
+            self._pool.fail(attempt)
 
     def _log_end(self, opened: PendingRequest, answer: str) -> None:
         self._log.answered(self._clock(), opened.request.request_id, opened.event, opened.attempts, answer)
