--- a/soak/limiters.py
+++ b/soak/limiters.py
@@ -10,7 +10,7 @@
 import socket
 import sys
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from itertools import cycle, islice
 from pathlib import Path
 from typing import Any
@@ -40,7 +40,6 @@
     admin_port: int
     log_path: Path
     expects_end: bool = False
-    started_at: float = field(default_factory=time.monotonic)
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if it still runs."""
