Failing tests: stalls of a process between the read of a request and its deadline

What was assumed: the event loop caches its time for an iteration. A probe rules that out: uvloop's loop.time() differs by 0.400 s over a sleep of 0.4 s in one callback, and from time.monotonic() by 0.15 ms. Change: the fault library stalls a process before or after a read of a socket, before a write, or before the n-th clock read behind the input. A stall shows only in the clock reads behind it, so that one stall before each of them plays all moments of the way of a request.

--- a/soak/fault_control.py
+++ b/soak/fault_control.py
@@ -18,12 +18,17 @@
 NANOSECONDS_PER_SECOND = 1_000_000_000
 
 # Layout of the control block, ``struct control`` in the library.
-BLOCK_BYTES = 56
+BLOCK_BYTES = 72
 CLOCK_OFFSET_POSITION = 0
 INTERRUPTED_WAITS_POSITION = 40
 MAX_TRANSFER_POSITION = 44
 DIRECTORY_ERRNO_POSITION = 48
 DIRECTORY_CALLS_POSITION = 52
+STALL_POINT_POSITION = 56
+STALL_MILLISECONDS_POSITION = 60
+STALLS_POSITION = 64
+CLOCK_READS_POSITION = 68
+MILLISECONDS_PER_SECOND = 1000
 INT64 = struct.Struct("=q")
 INT32 = struct.Struct("=i")
 
@@ -49,6 +54,15 @@
     LOCKING = 4
 
 
+class StallPoint(IntEnum):
+    """Where a process stalls: around a read or write of a socket."""
+
+    BEFORE_READ = 1  # the event loop has been notified of the input
+    AFTER_READ = 2
+    BEFORE_WRITE = 3
+    BEFORE_CLOCK_READ = 4  # counted from the next input on
+
+
 def build_library(directory: Path) -> Path:
     """Compile the library into a directory. Raise ``SoakError`` without a compiler or if it fails."""
     compiler = shutil.which("cc") or shutil.which("gcc")
@@ -97,12 +111,23 @@
         self._set(DIRECTORY_ERRNO_POSITION, error or errno.EIO)
         self._set(DIRECTORY_CALLS_POSITION, calls)
 
+    def stall_process(self, point: StallPoint, seconds: float, count: int = 1, clock_reads: int = 0) -> None:
+        """Let the process stand still at its next ``count`` calls that reach the point.
+
+        ``clock_reads`` precede the stall at ``BEFORE_CLOCK_READ``.
+        """
+        self._set(CLOCK_READS_POSITION, clock_reads)
+        self._set(STALL_POINT_POSITION, point)
+        self._set(STALL_MILLISECONDS_POSITION, int(seconds * MILLISECONDS_PER_SECOND))
+        self._set(STALLS_POSITION, count)
+
     def clear_call_faults(self) -> None:
         """End all faults of system calls; the clock keeps its error."""
         for call in SystemCall:
             self._set(call + INT32.size, 0)
         self.interrupt_waits(0)
         self.limit_transfers(0)
+        self._set(STALLS_POSITION, 0)
         self.fail_directory_calls(0, DirectoryCalls.NONE)
 
     def close(self) -> None:
--- a/soak/fault_library.c
+++ b/soak/fault_library.c
@@ -24,6 +24,7 @@
 #include <unistd.h>
 
 enum { FAIL_WRITING = 1, FAIL_READING = 2, FAIL_LOCKING = 4, MAX_FDS = 4096 };
+enum { STALL_BEFORE_READ = 1, STALL_AFTER_READ = 2, STALL_BEFORE_WRITE = 3, STALL_BEFORE_CLOCK_READ = 4 };
 
 struct control {
     int64_t clock_offset_ns;
@@ -34,9 +35,12 @@
     int32_t interrupted_waits;
     int32_t max_transfer; /* bytes that a read or write of a socket transfers; 0: no limit */
     int32_t directory_errno, directory_calls; /* a mask of FAIL_... */
+    int32_t stall_point, stall_ms, stalls; /* the next calls at that point stall the process */
+    int32_t clock_reads; /* before the stall at STALL_BEFORE_CLOCK_READ, counted from the next input on */
 };
 
 static struct control none, *control = &none;
+static int input_read; /* since the stall at STALL_BEFORE_CLOCK_READ was requested */
 static const char *directory;
 static char in_directory[MAX_FDS];
 
@@ -68,6 +72,14 @@
     return 1;
 }
 
+/* Stall the process if its stalls are due at this point: the event loop has one thread. */
+static void stall(int32_t point) {
+    int saved_errno = errno;
+    if (control->stall_point != point || control->stalls <= 0) return;
+    if (__sync_fetch_and_sub(&control->stalls, 1) > 0) usleep((useconds_t)control->stall_ms * 1000);
+    errno = saved_errno;
+}
+
 static int is_socket(int fd) {
     struct stat status;
     return fstat(fd, &status) == 0 && S_ISSOCK(status.st_mode);
@@ -103,7 +115,12 @@
     REAL(read);
     if (control->read_failures > 0 && is_socket(fd) && fails(&control->read_failures, control->read_errno))
         return -1;
-    return real(fd, data, shortened(fd, size));
+    if (control->stalls <= 0 || !is_socket(fd)) return real(fd, data, shortened(fd, size));
+    stall(STALL_BEFORE_READ);
+    ssize_t result = real(fd, data, shortened(fd, size));
+    if (result > 0) stall(STALL_AFTER_READ);
+    input_read = result > 0;
+    return result;
 }
 
 ssize_t recv(int fd, void *data, size_t size, int flags) {
@@ -122,6 +139,7 @@
 
 ssize_t write(int fd, const void *data, size_t size) {
     REAL(write);
+    if (control->stalls > 0 && is_socket(fd)) stall(STALL_BEFORE_WRITE);
     return file_write_fails(fd) ? -1 : real(fd, data, shortened(fd, size));
 }
 
@@ -149,6 +167,10 @@
 
 int clock_gettime(clockid_t clock, struct timespec *now) {
     REAL(clock_gettime);
+    if (control->stalls > 0 && input_read && control->clock_reads-- <= 0) {
+        stall(STALL_BEFORE_CLOCK_READ);
+        input_read = 0;
+    }
     int result = real(clock, now);
     if (result == 0 && (clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE)) {
         int64_t total = now->tv_sec * INT64_C(1000000000) + now->tv_nsec + control->clock_offset_ns;
--- /dev/null
+++ b/tests/test_process_stalls.py
@@ -0,0 +1,153 @@
+"""A process that stands still at a certain point of its work, in front of sockets that go on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+import pytest
+
+from quota_gateway.lifecycle.shutdown import KILL_GRACE_SECONDS, MAX_DEADLINE_SECONDS
+from quota_gateway.net.client.stall_detector import AFTERMATH_SECONDS
+from soak.fault_control import StallPoint
+from tests.gateway_process import ProcessFaults, Program, config, started
+from tests.loopback import (
+    OK_RESPONSE,
+    ScriptedEndpoint,
+    async_test,
+    http_request,
+    read_message,
+    running_server,
+)
+
+STALL = 0.4  # seconds
+SHORT_STALL = 0.14  # seconds: shorter than what the specification allows between a clock and a write
+DEADLINE_SLACK = 0.15  # seconds
+TIMEOUT = 2.0  # seconds
+
+
+class StalledLimiter(NamedTuple):
+    """A running limiter whose start is over, and its endpoint."""
+
+    program: Program
+    endpoint: ScriptedEndpoint
+
+    def propagated(self) -> float:
+        """The deadline of the last attempt, in seconds."""
+        return int(self.endpoint.requests[-1][1]["x-timeout-ms"]) / 1000
+
+
+@asynccontextmanager
+async def limiter_to_stall(
+    faults: ProcessFaults, folder: Path, endpoint: ScriptedEndpoint | None = None
+) -> AsyncIterator[StalledLimiter]:
+    """Run a limiter until its start counts as a stall no longer."""
+    scripted = endpoint or ScriptedEndpoint()
+    async with (
+        running_server(scripted.handle_connection) as address,
+        started(config(address), folder, environment=faults.environment) as program,
+    ):
+        await asyncio.sleep(AFTERMATH_SECONDS + DEADLINE_SLACK)
+        yield StalledLimiter(program, scripted)
+
+
+@pytest.mark.parametrize(
+    ("point", "stall", "count"),
+    [
+        (StallPoint.BEFORE_READ, STALL, 1),
+        (StallPoint.AFTER_READ, STALL, 1),
+        (StallPoint.BEFORE_WRITE, SHORT_STALL, 1),
+        (StallPoint.BEFORE_READ, STALL, 2),
+        (StallPoint.BEFORE_READ, SHORT_STALL, 2),
+    ],
+)
+@async_test
+async def test_the_propagated_deadline_has_no_time_that_passed_in_a_stall(
+    point: StallPoint, stall: float, count: int, faults: ProcessFaults, tmp_path: Path
+) -> None:
+    """With two stalls, the process stands still at another client's read first."""
+    async with limiter_to_stall(faults, tmp_path) as limiter:
+        connections = [await limiter.program.connect() for _ in range(count)]
+        for reader, writer in connections:
+            writer.write(http_request())
+            await read_message(reader)
+        faults.control.stall_process(point, stall, count)
+        for _reader, writer in connections:
+            writer.write(http_request(timeout_ms=int(TIMEOUT * 1000)))
+        sent_at = time.monotonic()
+        for reader, _writer in connections:
+            assert " 200 " in (await read_message(reader))[0]
+        assert time.monotonic() - sent_at >= stall  # the process stood still
+        # The last of the requests has waited during all stalls.
+        assert limiter.propagated() <= TIMEOUT - count * stall + DEADLINE_SLACK
+
+
+@pytest.mark.parametrize("clock_reads", range(12))
+@async_test
+async def test_a_stall_between_any_two_clock_reads_counts_against_the_propagated_deadline(
+    clock_reads: int, faults: ProcessFaults, tmp_path: Path
+) -> None:
+    """From the read of a request on: a stall shows only in the clock reads behind it."""
+    arrived_at = list[float]()
+
+    def respond(_number: int) -> bytes:
+        arrived_at.append(time.monotonic())
+        return OK_RESPONSE
+
+    async with limiter_to_stall(faults, tmp_path, ScriptedEndpoint(respond)) as limiter:
+        reader, writer = await limiter.program.connect()
+        writer.write(http_request())
+        await read_message(reader)
+        faults.control.stall_process(StallPoint.BEFORE_CLOCK_READ, STALL, clock_reads=clock_reads)
+        writer.write(http_request(timeout_ms=int(TIMEOUT * 1000)))
+        sent_at = time.monotonic()
+        assert " 200 " in (await read_message(reader))[0]
+        remaining = TIMEOUT - (arrived_at[-1] - sent_at)
+        assert limiter.propagated() <= remaining + DEADLINE_SLACK
+
+
+@async_test
+async def test_no_attempt_begins_for_a_client_that_left_between_wake_up_and_read(
+    faults: ProcessFaults, tmp_path: Path
+) -> None:
+    async with limiter_to_stall(faults, tmp_path) as limiter:
+        reader, writer = await limiter.program.connect()
+        writer.write(http_request())
+        await read_message(reader)
+        faults.control.stall_process(StallPoint.BEFORE_READ, STALL)
+        writer.write(http_request())
+        await asyncio.sleep(0.02)
+        writer.close()
+        await asyncio.sleep(STALL)
+        request = http_request()
+        other_reader, other_writer = await limiter.program.connect()
+        other_writer.write(request)
+        assert " 200 " in (await read_message(other_reader))[0]  # behind whatever else was forwarded
+        assert limiter.endpoint.requests[-1][1]["x-request-id"].encode() in request
+        assert len(limiter.endpoint.requests) == 2
+
+
+@async_test
+async def test_a_stall_within_the_shutdown_does_not_delay_its_end(
+    faults: ProcessFaults, tmp_path: Path
+) -> None:
+    """SIGKILL comes at its earliest time, also where the process stood still for a second."""
+    silent_endpoint = ScriptedEndpoint(lambda _number: None)
+    async with limiter_to_stall(faults, tmp_path, silent_endpoint) as limiter:
+        process = limiter.program.process
+        reader, writer = await limiter.program.connect()
+        writer.write(http_request(timeout_ms=10_000))
+        await silent_endpoint.request_received.wait()
+        process.terminate()
+        terminated_at = time.monotonic()
+        faults.control.stall_process(StallPoint.BEFORE_READ, 1.0)
+        _reader, other_writer = await limiter.program.connect()
+        other_writer.write(b"G")  # the process reads it, and stands still
+        status, _, _ = await read_message(reader)
+        assert status
+        await process.wait()
+        assert time.monotonic() - terminated_at <= MAX_DEADLINE_SECONDS + KILL_GRACE_SECONDS
