Count the timeout of a request from its arrival, which the system reports

What callers saw: after a stop of the process an endpoint is told more time than the client has left, and the answer comes up to the length of the stop too late. Cause: the time that a request had been unread was subtracted only behind a stall that StallDetector had found, and the deadline began at a later clock read (RequestTable._start_deadline). A stop between the two was counted nowhere, and stops of up to 0.15 s before the read never. The earlier explanation, a clock that the event loop caches, is wrong: uvloop's loop.time() reads the system's clock at each call. Evidence: test_process_stalls.py stalls a real process before each clock read behind the input. Change: a request knows when its last byte arrived (TCP_INFO, asked for each request, in place of only behind a stall); the deadline and the timer of the answer are absolute from there, and the pool reads its clock last before the write. All pairs of clock reads are ordered so that a stall between them makes the deadline shorter. What stays: a stall of over 0.15 s between the last clock read and the write of the attempt; no process can see that one.

--- a/quota_gateway/net/client/request.py
+++ b/quota_gateway/net/client/request.py
@@ -79,6 +79,7 @@
         "_last_progress_at",
         "_length_and_body",
         "_stream_head",
+        "arrived_at",
         "event",
         "forwarded_body",
         "forwarded_head",
@@ -97,8 +98,12 @@
         keep_alive: bool,
         is_http_1_0: bool = False,
         upload: BodyStream | None = None,
+        arrived_at: float = 0.0,
     ) -> None:
-        """Create a request whose response is written to ``connection``."""
+        """Create a request whose response is written to ``connection``.
+
+        ``arrived_at`` is the time at which its last byte arrived, by the clock of the shared state.
+        """
         self._connection = connection
         self._chunked = False  # whether the streamed response is in chunks
         self._length_and_body = b""  # of a complete response: Content-Length, empty line and body
@@ -106,6 +111,7 @@
         self._stream_head: bytes | None = None  # of the streamed response, until it is written
         self.keep_alive = keep_alive
         self.is_http_1_0 = is_http_1_0
+        self.arrived_at = arrived_at
         self.event: model.Request | None = None
         self.request_id = b""
         self.forwarded_head = b""  # request line and headers for the endpoint, without the empty line
@@ -131,9 +137,17 @@
         self.forwarded_body = forwarded_body
 
     def update_event(self, event: model.Request) -> None:
-        """Set the event with the time that its client still waits."""
+        """Set the event of a request that is not handed over."""
         self.event = event
 
+    def record_arrival(self, at: float) -> None:
+        """Record when the last byte of the upload arrived, by the clock of the shared state."""
+        self.arrived_at = at
+
+    def seconds_since_arrival(self) -> float:
+        """Return the time that the client has been waiting, also while this process could not run."""
+        return self._connection.shared.clock() - self.arrived_at
+
     def is_client_connected(self) -> bool:
         """Whether an attempt may begin: not for a client that left or ended its sending side a while ago."""
         return self._connection.liveness.is_connected()
--- a/quota_gateway/net/client/request_intake.py
+++ b/quota_gateway/net/client/request_intake.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from quota_gateway import model
 from quota_gateway.net.client.request import ClientRequest, RequestHandler
 from quota_gateway.net.client.request_head import RequestHead
 from quota_gateway.net.client.request_parser import REQUEST_ID, BadRequestError
 from quota_gateway.net.client.shared_state import SharedState
 
-MIN_TIMEOUT_SECONDS = 0.001  # the least remaining time that an accepted request has
 HEALTH_CHECK_PATH = "/healthz"
 
 
@@ -22,8 +20,8 @@
         self._handler = handler
         self._shared = shared
 
-    def accept(self, request: ClientRequest, head: RequestHead, body: bytes, seconds_unread: float) -> None:
-        """Hand over a request that had been unread for ``seconds_unread``, or respond to it.
+    def accept(self, request: ClientRequest, head: RequestHead, body: bytes) -> None:
+        """Hand over a request, or respond to it.
 
         Raises BadRequestError, without a response, if the request is not valid.
         """
@@ -37,7 +35,7 @@
         if body and head.method != b"POST":
             raise BadRequestError(400, "a body where none belongs")
         event = shared.parser.parse(head.method, target, head.headers, uploading=request.upload is not None)
-        if seconds_unread >= event.timeout:
+        if request.seconds_since_arrival() >= event.timeout:
             # The client has stopped waiting: an attempt would be wasted work.
             request.update_event(event)
             request.respond(503, retry_after=0.0)
@@ -47,14 +45,12 @@
         if request_id in shared.open_request_ids:
             raise BadRequestError(409, "the request id is in use")
         shared.open_request_ids.add(request_id)
-        event = _with_remaining_timeout(event, seconds_unread) if seconds_unread else event
         request.accept(event, request_id, head.forwarded(body, request.upload), body)
         self._handler.on_request(request)
 
-    def complete_upload(self, request: ClientRequest, seconds_unread: float) -> None:
+    def complete_upload(self, request: ClientRequest) -> None:
         """Notify the handler that the upload of an accepted request has been received completely."""
         if request.response_head is None and request.event is not None:
-            request.update_event(_with_remaining_timeout(request.event, seconds_unread))
             self._handler.on_upload_completed(request)
 
     def disconnect(self, request: ClientRequest) -> None:
@@ -73,8 +69,3 @@
     def withdraw(self, request: ClientRequest) -> None:
         """Withdraw the unsent attempts of an unanswered request whose client may have disconnected."""
         self._handler.on_client_maybe_disconnected(request)
-
-
-def _with_remaining_timeout(event: model.Request, seconds_unread: float) -> model.Request:
-    """Return the request with the time that its client still waits."""
-    return event.with_timeout(max(MIN_TIMEOUT_SECONDS, event.timeout - seconds_unread))
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -41,7 +41,6 @@
     __slots__ = (
         "_closer",
         "_intake",
-        "_received_after",
         "_transport",
         "liveness",
         "queue",
@@ -60,7 +59,6 @@
         self.reader = RequestReader(self, shared.clock)
         self.liveness = ClientLiveness(transport, self, shared.clock)
         self.queue = ResponseQueue(transport, shared)
-        self._received_after = self.queue.active_at  # earliest arrival of the input that is being read
 
     @property
     def is_idle(self) -> bool:
@@ -92,9 +90,7 @@
             if not self._transport.discard(len(data)):
                 self._closer.abort(CloseReason.TOO_MUCH_INPUT)
             return
-        now = self.shared.clock()
-        self.shared.stalls.mark(now)
-        self._received_after = self.shared.stalls.unread_since(now)
+        self.shared.stalls.mark(self.shared.clock())
         self.reader.feed(data)
 
     def on_request_started(self, *, is_first: bool) -> float:
@@ -112,12 +108,16 @@
         """Queue and hand over a request; raise BadRequestError if it was answered as malformed."""
         if upload is not None:
             self._transport.limit_receive_buffer()
-        is_http_1_0 = head.http_version == "1.0"
-        request = ClientRequest(self, keep_alive=keep_alive, is_http_1_0=is_http_1_0, upload=upload)
-        self.liveness.record_seen(self._received_after)
+        request = ClientRequest(
+            self,
+            keep_alive=keep_alive,
+            is_http_1_0=head.http_version == "1.0",
+            upload=upload,
+            arrived_at=self._record_arrival(),
+        )
         self.queue.append(request)
         try:
-            self._intake.accept(request, head, body, self._seconds_unread())
+            self._intake.accept(request, head, body)
         except BadRequestError as error:
             # A client that sends one malformed request sends more: the connection ends with the response.
             self.reader.stop_upload()
@@ -128,15 +128,21 @@
 
     def on_upload_completed(self) -> None:
         """Notify the handler that the last request's upload has been received completely."""
-        self._intake.complete_upload(self.queue[-1], self._seconds_unread())
+        request = self.queue[-1]
+        request.record_arrival(self._record_arrival())
+        self._intake.complete_upload(request)
+
+    def _record_arrival(self) -> float:
+        """Return when the input that was read last arrived: it may have been unread for a while.
 
-    def _seconds_unread(self) -> float:
-        """Return how long the input had been waiting, if the process may have been stalled meanwhile."""
+        Its client was there at that time.
+        """
+        # The clock is read first: a stall of the process behind it can only make the arrival appear earlier.
         now = self.shared.clock()
-        if not self.shared.stalls.is_after_stall(now) or not self._transport.is_open:
-            return 0.0
         data_age = self._transport.seconds_since_last_data()
-        return 0.0 if data_age is None else min(now - self._received_after, data_age)
+        arrived_at = now - (data_age or 0.0)
+        self.liveness.record_seen(min(arrived_at, self.shared.stalls.unread_since(now)))
+        return arrived_at
 
     def reject(self, status: int) -> None:
         """Respond to malformed or overdue input behind the queued requests, and close."""
--- a/quota_gateway/net/common/socket_calls.py
+++ b/quota_gateway/net/common/socket_calls.py
@@ -14,6 +14,7 @@
 NATIVE_INT = struct.Struct("i")
 NATIVE_UNSIGNED = struct.Struct("I")
 TCP_INFO_BYTES = 64  # struct tcp_info (Linux) up to the times of the last segments
+RETRANSMISSION_TIMEOUT_OFFSET = 8  # of tcpi_rto; never 0 where the system fills in the structure
 LAST_DATA_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv: milliseconds since the last data segment arrived
 MILLISECONDS_PER_SECOND = 1000
 
@@ -56,8 +57,9 @@
     with contextlib.suppress(OSError, struct.error):
         client_socket = transport.get_extra_info("socket")
         info = client_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (retransmission_timeout,) = NATIVE_UNSIGNED.unpack_from(info, RETRANSMISSION_TIMEOUT_OFFSET)
         (milliseconds,) = NATIVE_UNSIGNED.unpack_from(info, LAST_DATA_RECEIVED_OFFSET)
-        return float(milliseconds / MILLISECONDS_PER_SECOND)
+        return float(milliseconds / MILLISECONDS_PER_SECOND) if retransmission_timeout else None
     return None
 
 
--- a/quota_gateway/net/dispatch/request_table.py
+++ b/quota_gateway/net/dispatch/request_table.py
@@ -25,6 +25,7 @@
 MAX_RESPONSE_MARGIN_FRACTION = 0.1  # of the timeout
 # Without a response of the decisions, the request fails this fraction of the margin before the timeout.
 UNANSWERED_MARGIN_FRACTION = 0.5
+MIN_TIMEOUT_SECONDS = 0.001  # the least remaining time that the decisions are told
 SHUTDOWN_RETRY_AFTER_SECONDS = 0.1  # Retry-After of requests that are rejected at the end of the process
 STATUS_OK = 200
 STATUS_REJECTED = 429
@@ -95,32 +96,35 @@
         request_class = self._classes.get(event.request_class)
         pending = PendingRequest(request, event, request_class, self.max_attempts)
         self._open[event.id] = pending
-        margin = _response_margin(event.timeout)
-        if not event.uploading:  # the timeout of an upload starts with its last byte
-            self._start_deadline(pending, event, self._clock(), margin)
-        return event.with_timeout(event.timeout - margin)
+        if event.uploading:  # the timeout of an upload starts with its last byte
+            return event.with_timeout(event.timeout - _response_margin(event.timeout))
+        now = self._clock()
+        self._start_deadline(pending, now)
+        return event.with_timeout(max(MIN_TIMEOUT_SECONDS, pending.deadline - now))
 
     def complete_upload(self, event: model.Request) -> bool:
-        """Start the timeout of a request whose last byte has arrived; return False if it is not open.
-
-        The event's timeout is the time that the client still waits: the last byte may have been unread for a
-        while.
-        """
+        """Start the timeout of a request whose last byte has arrived; return False if it is not open."""
         pending = self._open.get(event.id)
         if pending is None:
             return False
         now = self._clock()
-        self._start_deadline(pending, event, now, _response_margin(event.timeout))
+        self._start_deadline(pending, now)
         for attempt in pending.attempts:
             self._exchanges.set_expiry(attempt, min(pending.deadline, now + attempt.timeout))
         return True
 
-    def _start_deadline(
-        self, pending: PendingRequest, event: model.Request, now: float, margin: float
-    ) -> None:
-        delay = event.timeout - UNANSWERED_MARGIN_FRACTION * margin
-        timer = self._loop.call_later(delay, self.abandon, event.id, STATUS_TIMEOUT)
-        pending.start_deadline(now + event.timeout - margin, timer)
+    def _start_deadline(self, pending: PendingRequest, now: float) -> None:
+        """Count the timeout from the arrival of the request.
+
+        The time since then is read after ``now``: a stall of the process in between shortens the timeout.
+        """
+        request = pending.request
+        event = pending.event
+        remaining = event.timeout - request.seconds_since_arrival()
+        margin = _response_margin(max(0.0, remaining))
+        answer_at = request.arrived_at + event.timeout - UNANSWERED_MARGIN_FRACTION * margin
+        timer = self._loop.call_at(answer_at, self.abandon, event.id, STATUS_TIMEOUT)
+        pending.start_deadline(now + remaining - margin, timer)
 
     # Ends.
 
--- a/quota_gateway/net/upstream/pool.py
+++ b/quota_gateway/net/upstream/pool.py
@@ -60,7 +60,7 @@
             return
         connection = self._connections.idle.take(endpoint, now)
         if connection is not None:
-            self._send(connection, exchange, now)
+            self._send(connection, exchange)
             return
         if not self._connections.reserve(endpoint):
             self.exchanges.complete(exchange, CallStatus.OVERLOADED)
@@ -134,7 +134,7 @@
             self.exchanges.complete(exchange, CallStatus.RESET_BEFORE_REQUEST)
         else:
             # Connecting took time: the endpoint may be draining, the exchange may have expired.
-            self._send(connection, exchange, self._clock())
+            self._send(connection, exchange)
 
     def on_never_connected(self, endpoint: UpstreamEndpoint) -> None:
         """Stop counting a connection that was not established."""
@@ -152,16 +152,17 @@
 
     # Sending.
 
-    def _send(self, connection: UpstreamConnection, exchange: Exchange, now: float) -> None:
+    def _send(self, connection: UpstreamConnection, exchange: Exchange) -> None:
         """Write a request unless that breaks an invariant, or the request must not be sent any more."""
-        remaining = exchange.expires_at - now
         violated = find_send_violation(connection, exchange)
         if violated is not None:
             self._reject(violated, connection, exchange)
             return
-        is_late = remaining <= 0 or now > exchange.not_after
-        # The client is polled last, because that may withdraw this exchange.
-        if is_late or not self._connections.is_usable(connection) or exchange.has_lost_client():
+        # Polling the client may withdraw this exchange.
+        may_send = self._connections.is_usable(connection) and not exchange.has_lost_client()
+        now = self._clock()  # directly before the write: a stall of the process up to here is detected
+        remaining = exchange.expires_at - now
+        if not may_send or remaining <= 0 or now > exchange.not_after:
             self._connections.release(connection, reusable=True)
             self.exchanges.complete(exchange, CallStatus.NOT_SENT)
             return
--- a/tests/test_process_stalls.py
+++ b/tests/test_process_stalls.py
@@ -28,6 +28,7 @@
 SHORT_STALL = 0.14  # seconds: shorter than what the specification allows between a clock and a write
 DEADLINE_SLACK = 0.15  # seconds
 TIMEOUT = 2.0  # seconds
+RESPONSE_GRACE = 0.5  # seconds
 
 
 class StalledLimiter(NamedTuple):
@@ -110,6 +111,23 @@
         assert limiter.propagated() <= remaining + DEADLINE_SLACK
 
 
+@pytest.mark.parametrize("clock_reads", range(12))
+@async_test
+async def test_a_stall_between_any_two_clock_reads_does_not_delay_the_answer(
+    clock_reads: int, faults: ProcessFaults, tmp_path: Path
+) -> None:
+    """The client has its answer half a second after its time, although no endpoint responds."""
+    timeout = 0.6
+    stall = 0.9
+    async with limiter_to_stall(faults, tmp_path, ScriptedEndpoint(lambda _number: None)) as limiter:
+        reader, writer = await limiter.program.connect()
+        faults.control.stall_process(StallPoint.BEFORE_CLOCK_READ, stall, clock_reads=clock_reads)
+        writer.write(http_request(timeout_ms=int(timeout * 1000)))
+        sent_at = time.monotonic()
+        await read_message(reader)
+        assert time.monotonic() - sent_at <= timeout + RESPONSE_GRACE
+
+
 @async_test
 async def test_no_attempt_begins_for_a_client_that_left_between_wake_up_and_read(
     faults: ProcessFaults, tmp_path: Path
