Serve half-closed clients in the second after a start or a stall

What callers saw: a client that sends a request and ends its sending side gets 429 at once in the second after a start or a stall, although it waits for the response. Cause: RequestPipeline recorded the client as last seen at the beginning of the stall (after a start 60 s ago), because the end of its input might have been unread since then; ClientLiveness then took it for disconnected. Change: the client was there when its last byte arrived, which the system reports. The beginning of the stall is used only where it does not.

--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -140,9 +140,11 @@
         # The clock is read first: a stall of the process behind it can only make the arrival appear earlier.
         now = self.shared.clock()
         data_age = self._transport.seconds_since_last_data()
-        arrived_at = now - (data_age or 0.0)
-        self.liveness.record_seen(min(arrived_at, self.shared.stalls.unread_since(now)))
-        return arrived_at
+        if data_age is None:
+            self.liveness.record_seen(self.shared.stalls.unread_since(now))
+            return now
+        self.liveness.record_seen(now - data_age)
+        return now - data_age
 
     def reject(self, status: int) -> None:
         """Respond to malformed or overdue input behind the queued requests, and close."""
--- a/tests/test_client_liveness.py
+++ b/tests/test_client_liveness.py
@@ -259,6 +259,26 @@
         assert body == b"hi"
 
 
+@async_test
+async def test_request_of_a_client_that_half_closes_right_after_the_start_is_forwarded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After a start or a stall input may have been unread for long; the system knows how long."""
+    monkeypatch.setattr(client_liveness, "PRESENCE_GRACE_SECONDS", 10.0)  # more than a slow machine needs
+    monkeypatch.setattr(client_liveness, "RESET_WAIT_SECONDS", 10.0)
+    endpoint = ScriptedEndpoint()
+    async with limiter_with_endpoint(endpoint.handle_connection) as limiter:
+        await keep_endpoint_connection(limiter, monkeypatch)
+        client = socket.create_connection(limiter.address)
+        client.sendall(http_request(timeout_ms=60000))
+        client.shutdown(socket.SHUT_WR)
+        reader, writer = await asyncio.open_connection(sock=client)
+        status, _, body = await read_final_response(reader)
+        assert " 200 " in status
+        assert body == b"hi"
+        writer.close()
+
+
 def is_failed_attempt(event: model.Event) -> TypeGuard[model.AttemptCompleted]:
     """Whether an attempt got an error response, and its request is still open."""
     return (
