Take the end of a client's input for as old as the stall in which it may have arrived

Cause: ClientLiveness.on_input_ended took the time at which the event loop read the end of the input for the time of its arrival; the check before the write polls only a client that was not seen recently. Change: behind a stall the end counts as arrived with the beginning of the stall, or with the client's last byte if that came later. Measured: the new test fails on (the attempt is forwarded, 200) and passes.

--- a/quota_gateway/net/client/liveness.py
+++ b/quota_gateway/net/client/liveness.py
@@ -142,11 +142,14 @@
                 self._input_ended_at = self._last_seen_at
             self._start_confirmation()
 
-    def on_input_ended(self) -> None:
-        """Record that the event loop has read the end of the input while responses are pending."""
+    def on_input_ended(self, not_before: float) -> None:
+        """Record that the event loop has read the end of the input while responses are pending.
+
+        ``not_before`` is the earliest time at which it may have arrived.
+        """
         self.input_ended = True
         if self._input_ended_at is None:
-            self._input_ended_at = self._clock()
+            self._input_ended_at = max(not_before, self._last_seen_at)
         self._start_confirmation()
 
     def _start_confirmation(self) -> None:
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -190,7 +190,10 @@
         """Record the end of the input; return whether the client may wait half-closed for a response."""
         if not self.queue or self.reader.body.upload is not None:
             return False
-        self.liveness.on_input_ended()
+        stalls = self.shared.stalls
+        now = self.shared.clock()
+        stalls.mark(now)
+        self.liveness.on_input_ended(stalls.unread_since(now) if stalls.is_after_stall(now) else now)
         return True
 
     def has_queued_requests(self) -> bool:
--- a/tests/test_client_liveness.py
+++ b/tests/test_client_liveness.py
@@ -279,6 +279,30 @@
         writer.close()
 
 
+@async_test
+async def test_no_attempt_begins_for_a_client_whose_input_ended_during_a_stall(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end of its input is read as soon as the process goes on, and is older than that."""
+    script = ScriptedDecisions(take_no_action)
+    endpoint = ScriptedEndpoint()
+    async with limiter_with_endpoint(endpoint.handle_connection, script) as limiter:
+        await keep_endpoint_connection(limiter, monkeypatch)
+        reader, writer = await limiter.connect()
+        writer.write(http_request(timeout_ms=60000))
+        (event,) = await script.wait_for(model.Request)
+        client = list(limiter.listener.connections)[-1]
+        writer.write_eof()
+        time.sleep(4 * LATE_SECONDS)
+        while not client.pipeline.liveness.input_ended:
+            await asyncio.sleep(0)
+        execute(limiter, forward_to_s1(event))
+        status, _, _ = await read_final_response(reader)
+        assert " 429 " in status
+        writer.close()
+        await assert_only_the_next_is_forwarded(limiter, endpoint, 1)
+
+
 def is_failed_attempt(event: model.Event) -> TypeGuard[model.AttemptCompleted]:
     """Whether an attempt got an error response, and its request is still open."""
     return (
