Time the shutdown from SIGTERM, also where the process stands still

What callers saw: after a stop of the process within a shutdown, or one in which SIGTERM arrives, SIGKILL ends requests that have no answer: the process answers them 4.0 s and 4.5 s after SIGTERM, SIGKILL may come after 3.7 s. Cause: each phase of the shutdown was timed from the end of the phase before it, and the first one from the moment that SIGTERM was handled; each stall moved all that follows. Change: the phases end at times counted from the earliest moment at which SIGTERM may have been sent: now, or the beginning of a stall from which the process has just come back. The fixed reserve for signals handled up to 0.15 s late stays.

--- a/quota_gateway/lifecycle/process.py
+++ b/quota_gateway/lifecycle/process.py
@@ -29,7 +29,7 @@
     announce_ready(config)
     await stop_requested.wait()
     log.info("shutting down")
-    await shut_down(components)
+    await shut_down(components, components.listener.signal_sent_after())
 
 
 def _log_unhandled_error(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/quota_gateway/lifecycle/shutdown.py
+++ b/quota_gateway/lifecycle/shutdown.py
@@ -23,9 +23,13 @@
     return kill_delay - SIGNAL_DELAY_SECONDS - FLUSH_TIMEOUT_SECONDS - ACCEPT_PERIOD_SECONDS
 
 
-async def shut_down(components: Components) -> None:
-    """Drain, answer the requests that are still open, and close all connections and files."""
-    await _drain(components)
+async def shut_down(components: Components, terminated_at: float) -> None:
+    """Drain, answer the requests that are still open, and close all connections and files.
+
+    ``terminated_at`` is the earliest time at which SIGTERM may have been sent, by the event loop's clock. All
+    steps are timed from there, so that a stall of the process does not move the end beyond SIGKILL.
+    """
+    await _drain(components, terminated_at)
     components.dispatcher.abandon_all()
     await components.listener.close(FLUSH_TIMEOUT_SECONDS)
     if components.admin is not None:
@@ -37,18 +41,20 @@
         components.counter.close()
 
 
-async def _drain(components: Components) -> None:
+async def _drain(components: Components, terminated_at: float) -> None:
     """Stop accepting clients, and wait for the responses to the accepted requests."""
+    loop = asyncio.get_running_loop()
     listener = components.listener
     listener.start_draining()
     components.dispatcher.begin_shutdown()
-    timeout = drain_timeout(components.dispatcher.settings)
+    accept_until = terminated_at + ACCEPT_PERIOD_SECONDS
+    drain_until = accept_until + drain_timeout(components.dispatcher.settings)
     components.process_group.withdraw_accepting()
     if components.process_group.has_accepting_peer():
         # The other process accepts new clients. Connected clients migrate with their next response; closing
         # their connections sooner could cross a request on its way.
         await listener.stop_accepting()
-        await listener.wait_until_empty(ACCEPT_PERIOD_SECONDS + timeout)
+        await listener.wait_until_empty(drain_until - loop.time())
     else:
-        await asyncio.sleep(ACCEPT_PERIOD_SECONDS)
-        await listener.close(timeout)
+        await asyncio.sleep(accept_until - loop.time())
+        await listener.close(drain_until - loop.time())
--- a/quota_gateway/net/client/listener.py
+++ b/quota_gateway/net/client/listener.py
@@ -117,6 +117,12 @@
             HEARTBEAT_INTERVAL_SECONDS, self._record_heartbeat
         )
 
+    def signal_sent_after(self) -> float:
+        """Return the earliest time at which the signal that is being handled may have been sent."""
+        now = self.shared.clock()
+        self.shared.stalls.mark(now)
+        return self.shared.stalls.signal_sent_after(now)
+
     def start_draining(self) -> None:
         """Close each connection with its next response from now on."""
         self.shared.start_draining()
--- a/quota_gateway/net/client/stall_detector.py
+++ b/quota_gateway/net/client/stall_detector.py
@@ -15,10 +15,19 @@
     a listening socket that the platform keeps open may have connections already.
     """
 
-    __slots__ = ("_marked_at", "_previous_mark", "_stall_began", "_stall_ended")
+    __slots__ = (
+        "_created_at",
+        "_has_stalled",
+        "_marked_at",
+        "_previous_mark",
+        "_stall_began",
+        "_stall_ended",
+    )
 
     def __init__(self, now: float) -> None:
         """Begin at ``now``, in seconds of the event loop's clock."""
+        self._created_at = now
+        self._has_stalled = False  # the start of the process apart
         self._marked_at = now
         self._previous_mark = now
         self._stall_began = now - MAX_ACCEPT_QUEUE_SECONDS
@@ -33,6 +42,7 @@
             if not self.is_after_stall(self._marked_at):
                 self._stall_began = self._marked_at
             self._stall_ended = now
+            self._has_stalled = True
         self._previous_mark = self._marked_at
         self._marked_at = now
 
@@ -40,6 +50,12 @@
         """Return the earliest time at which input that is read at ``now`` may have arrived."""
         return self._stall_began if self.is_after_stall(now) else self._previous_mark
 
+    def signal_sent_after(self, now: float) -> float:
+        """Return the earliest time at which a signal that is handled at ``now`` may have been sent."""
+        if self._has_stalled and self.is_after_stall(now):
+            return max(self._created_at, self._stall_began)
+        return now
+
     def is_after_stall(self, now: float) -> bool:
         """Whether input that is read at ``now`` may have arrived during a stall."""
         return now - self._stall_ended < AFTERMATH_SECONDS
--- a/tests/test_stall_detector.py
+++ b/tests/test_stall_detector.py
@@ -41,3 +41,15 @@
     for step in range(1, 20):
         stalls.mark(8.6 + 0.1 * step)
     assert stalls.unread_since(10.5) > 10.0
+
+
+def test_signal_may_have_been_sent_since_the_beginning_of_a_stall() -> None:
+    stalls = StallDetector(100.0)
+    assert stalls.signal_sent_after(100.05) == 100.05  # the start is no stall: no signal was sent before it
+    for step in range(1, 21):
+        stalls.mark(100.0 + 0.1 * step)
+    stalls.mark(105.0)
+    assert stalls.signal_sent_after(105.01) == 102.0
+    for step in range(1, 21):
+        stalls.mark(105.0 + 0.1 * step)
+    assert stalls.signal_sent_after(107.0) == 107.0
