Soak: end every request that was sent, and a run in which the soak test itself fails

After a reset the others of a pipeline stayed open too. Cause: LimiterClients._receive both read a response and released its connection; exceptions of tasks were printed as never retrieved; incomplete requests had no outcome, so that open could not be told from them. Change: a pipeline keeps its connection and closes it behind its last response; what a close leaves unanswered behind the first request is sent again, as PROTOCOL has it. Errors of tasks and of the event loop, and requests without an end, are recorded, printed, and end the command with exit code 3. A request that its client does not complete has its own outcome.

--- a/soak/cli.py
+++ b/soak/cli.py
@@ -1,7 +1,7 @@
 """The command line: seeds and size of the runs, printed verdicts, exit codes.
 
-The exit code is 0 if no invariant was violated, 1 if one was, and 2 if there is no verdict: the arguments are
-wrong, a limiter does not start, a port is in use, or there is no compiler.
+The exit code is 0 if no invariant was violated, 1 if one was, 2 if there is no verdict (the arguments
+are wrong, a limiter does not start, a port is in use, there is no compiler), and 3 if the soak test failed.
 """
 
 from __future__ import annotations
@@ -42,6 +42,7 @@
     NO_VIOLATION = 0
     VIOLATION = 1
     NO_VERDICT = 2
+    SOAK_FAILURE = 3
 
 
 class _Parser(argparse.ArgumentParser):
@@ -93,9 +94,13 @@
 
 
 def _print_verdict(scenario: Scenario, history: History, violations: list[Violation], seconds: float) -> None:
+    for error in history.runner_errors:
+        print(f"SOAK FAILURE: {error}")
     for violation in violations[:MAX_PRINTED_TRACES]:
         print(format_trace(history, violation))
     counts = Counter(violation.invariant.value for violation in violations)
+    if history.runner_errors:
+        counts["failures of the soak test"] = len(history.runner_errors)
     verdict = ", ".join(f"{name} {count}" for name, count in sorted(counts.items()))
     outcomes = Counter(request.outcome.value for request in history.requests.values())
     statuses = Counter(request.status for request in history.requests.values() if request.status)
@@ -116,6 +121,7 @@
 def _run_seeds(options: argparse.Namespace) -> ExitCode:
     seeds = options.seeds or [options.seed]
     violating_seeds = list[int]()
+    failed_seeds = list[int]()
     with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
         library = build_library(Path(scratch))
         for seed in seeds:
@@ -129,9 +135,16 @@
             _print_verdict(scenario, history, violations, time.monotonic() - started_at)
             if violations:
                 violating_seeds.append(seed)
+            if history.runner_errors:
+                failed_seeds.append(seed)
             sys.stdout.flush()
     if len(seeds) > 1:
-        print(f"{len(seeds)} seeds, {len(violating_seeds)} with violations: {violating_seeds}")
+        print(
+            f"{len(seeds)} seeds, {len(violating_seeds)} with violations: {violating_seeds}, "
+            f"{len(failed_seeds)} in which the soak test failed: {failed_seeds}"
+        )
+    if failed_seeds:
+        return ExitCode.SOAK_FAILURE
     return ExitCode.VIOLATION if violating_seeds else ExitCode.NO_VIOLATION
 
 
--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -117,12 +117,6 @@
         """Make a connection available for another request."""
         self._idle.append(connection)
 
-    def discard(self, connection: Connection) -> None:
-        """Close a connection at once, and remove it if it is idle."""
-        if connection in self._idle:
-            self._idle.remove(connection)
-        connection.abort()
-
     def close(self) -> None:
         """Close the idle connections."""
         for connection in self._idle:
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
 from dataclasses import dataclass
 from random import Random
 
-from soak.client_connection import Connection, ConnectionPool, IncompleteResponseError, read_response
+from soak.client_connection import (
+    Connection,
+    ConnectionPool,
+    IncompleteResponseError,
+    Response,
+    read_response,
+)
 from soak.history import (
     TRUNCATED_RESPONSE_STATUS,
     ClientBehaviour,
@@ -131,18 +136,23 @@
             sending = self._send_request(behaviour, MAX_RETRIES)
         task = asyncio.create_task(sending)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._history.record_runner_error("a client failed", task.exception())
 
     async def _send_request(self, behaviour: ClientBehaviour, retries: int) -> None:
         request = self._factory.make(behaviour)
         try:
-            await self._exchange(request, await self._connections.acquire())
-            if request.outcome is RequestOutcome.CONNECTION_CLOSED and not request.on_new_connection:
-                request.mark_resent()  # the limiter may have closed the idle connection before the request
-                await self._exchange(request, await self._connections.connect())
+            connection = await self._connections.acquire()
         except OSError:
-            if request.outcome is RequestOutcome.OPEN or request.resent:
-                request.end(RequestOutcome.CONNECTION_REFUSED)
+            request.end(RequestOutcome.CONNECTION_REFUSED)
+            return
+        await self._exchange(request, connection)
+        if request.outcome is RequestOutcome.CONNECTION_CLOSED and not request.on_new_connection:
+            await self._resend(request)  # the limiter may have closed the idle connection before the request
         is_rejected = request.status in RETRYABLE_STATUSES
         if behaviour is ClientBehaviour.IMMEDIATE_RETRIES and retries and is_rejected:
             await asyncio.sleep(self._random.uniform(MIN_RETRY_DELAY_SECONDS, MAX_RETRY_DELAY_SECONDS))
@@ -181,7 +191,17 @@
                 await asyncio.sleep(UPLOAD_GAP_SECONDS)
 
     async def _receive(self, request: ClientRequest, connection: Connection) -> None:
-        """Wait for the response as long as the client's behaviour says."""
+        """Wait for the response, then reuse the connection or close it."""
+        response = await self._wait_for_response(request, connection)
+        if response is None:
+            return
+        if response.keeps_connection and request.behaviour is not ClientBehaviour.HALF_CLOSE:
+            self._connections.release(connection)
+        else:
+            connection.close()
+
+    async def _wait_for_response(self, request: ClientRequest, connection: Connection) -> Response | None:
+        """Wait as long as the client's behaviour says; return None if it gave up."""
         disconnects = request.behaviour is ClientBehaviour.DISCONNECT
         patience = request.timeout + RESPONSE_PATIENCE_SECONDS
         if disconnects:
@@ -193,12 +213,9 @@
             request.end(RequestOutcome.DISCONNECTED if disconnects else RequestOutcome.TIMED_OUT)
             if disconnects and self._random.random() < CLOSE_ON_DISCONNECT_FRACTION:
                 connection.close()
-            return
+            return None
         request.receive_response(response.status, response.body)
-        if response.keeps_connection and request.behaviour is not ClientBehaviour.HALF_CLOSE:
-            self._connections.release(connection)
-        else:
-            connection.close()
+        return response
 
     async def _send_pipelined_requests(self) -> None:
         """Send several requests at once on one connection; the responses arrive in the same order."""
@@ -209,18 +226,42 @@
             for request in requests:
                 request.end(RequestOutcome.CONNECTION_REFUSED)
             return
+        try:
+            for request in requests:
+                request.begin_exchange(on_new_connection=request is requests[0])
+                await self._write(request, connection.writer)
+                request.mark_sent()
+            for request in requests:
+                if await self._wait_for_response(request, connection) is None:
+                    break
+        except IncompleteResponseError as error:
+            if error.has_head:
+                _first_open(requests).receive_response(TRUNCATED_RESPONSE_STATUS)
+        except OSError:
+            pass
+        connection.abort()
+        await self._end_pipelined(requests)
+
+    async def _end_pipelined(self, requests: list[ClientRequest]) -> None:
+        """End the requests whose connection has ended.
+
+        The close of the limiter may have crossed all but the first one: these are sent again.
+        """
         for request in requests:
-            request.begin_exchange(on_new_connection=True)
-            await self._write(request, connection.writer)
-            request.mark_sent()
-        for request in requests:
-            with contextlib.suppress(IncompleteResponseError):
-                await self._receive(request, connection)
-            if request.outcome is RequestOutcome.OPEN:
+            if request.outcome is not RequestOutcome.OPEN:
+                continue
+            if request.on_new_connection or not request.sent_at:
                 request.end(RequestOutcome.CONNECTION_CLOSED)
-            if request.outcome is not RequestOutcome.RESPONSE_RECEIVED:
-                break
-        self._connections.discard(connection)
+            else:
+                await self._resend(request)
+
+    async def _resend(self, request: ClientRequest) -> None:
+        """Send a request again on a new connection."""
+        request.mark_resent()
+        try:
+            await self._exchange(request, await self._connections.connect())
+        except OSError:
+            request.end(RequestOutcome.CONNECTION_REFUSED)
 
     async def _send_incomplete_request(self) -> None:
         """Stop within a request, stay connected, and record when the limiter ends the exchange."""
@@ -233,15 +274,21 @@
             connection.writer.write(sent)
             await connection.writer.drain()
         except OSError:
+            request.end(RequestOutcome.CONNECTION_REFUSED)
             return
         stopped_at = time.monotonic()
         ended_at = await _wait_for_end(connection)
+        request.end(RequestOutcome.NOT_COMPLETED)
         self._history.incomplete_requests.append(
             IncompleteRequest(self._limiter, point.name, stopped_at, ended_at)
         )
         connection.abort()
 
 
+def _first_open(requests: list[ClientRequest]) -> ClientRequest:
+    return next(request for request in requests if request.outcome is RequestOutcome.OPEN)
+
+
 async def _wait_for_end(connection: Connection) -> float:
     """Return when the first byte of a response or the close arrives; 0 if neither does in time."""
     try:
--- a/soak/history.py
+++ b/soak/history.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+import traceback
 from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -35,12 +36,13 @@
 class RequestOutcome(StrEnum):
     """How a request ended for its client."""
 
-    OPEN = "open"
+    OPEN = "open"  # not ended yet; at the end of a run this is a fault of the soak test
     RESPONSE_RECEIVED = "response received"
     CONNECTION_CLOSED = "connection closed without a response"
     TIMED_OUT = "no response"
     DISCONNECTED = "client disconnected"
     CONNECTION_REFUSED = "connection refused"
+    NOT_COMPLETED = "not completed by its client"
 
 
 class EndpointHealth(StrEnum):
@@ -261,6 +263,7 @@
     exits: list[ProcessExit] = field(default_factory=list)
     metrics: dict[int, dict[str, int]] = field(default_factory=dict)  # of limiters that never restarted
     runner_delays: list[RunnerDelay] = field(default_factory=list)
+    runner_errors: list[str] = field(default_factory=list)  # faults of the soak test itself
     runner_events: list[RunnerEvent] = field(default_factory=list)
     started_at: float = field(default_factory=time.monotonic)
 
@@ -273,6 +276,15 @@
         """Record an action of the runner."""
         self.runner_events.append(RunnerEvent(time.monotonic(), text))
 
+    def record_runner_error(self, context: str, error: BaseException | None) -> None:
+        """Record an unexpected error in the soak test itself: the run has no verdict."""
+        trace = "".join(traceback.format_exception(error)) if error is not None else ""
+        self.runner_errors.append(f"{context}\n{trace}".strip())
+
+    def open_requests(self) -> list[ClientRequest]:
+        """Return the requests whose exchange has not ended."""
+        return [request for request in self.requests.values() if request.outcome is RequestOutcome.OPEN]
+
     @contextmanager
     def span(self, kind: SpanKind, limiter: int) -> Iterator[None]:
         """Record a span around the body; nothing is recorded if the body raises."""
--- a/soak/scenario_runner.py
+++ b/soak/scenario_runner.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import time
 from pathlib import Path
+from typing import Any
 
 from soak.environment import Environment
 from soak.errors import SoakError
@@ -29,6 +31,7 @@
 
     async def run(self) -> History:
         """Run the scenario and return its history. Raise ``SoakError`` if it cannot be run."""
+        asyncio.get_running_loop().set_exception_handler(self._record_error)
         delay_watch = asyncio.create_task(self._watch_delays())
         try:
             await self._environment.start()
@@ -39,8 +42,19 @@
         finally:
             delay_watch.cancel()
             await self._environment.close()
+        self._record_open_requests()
         return self._history
 
+    def _record_error(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        self._history.record_runner_error(context["message"], context.get("exception"))
+
+    def _record_open_requests(self) -> None:
+        gc.collect()  # reports the tasks whose exception nobody has retrieved
+        for request in self._history.open_requests():
+            self._history.record_runner_error(
+                f"request {request.id}, {request.behaviour}, has not ended", None
+            )
+
     async def _run_traffic(self) -> None:
         started_at = self._history.start_traffic()
         clients = self._environment.clients
--- /dev/null
+++ b/tests/test_soak_clients.py
@@ -0,0 +1,102 @@
+"""The clients of the soak test against a scripted limiter: every request that they send ends."""
+
+from __future__ import annotations
+
+import asyncio
+from itertools import count
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from soak import cli
+from soak.cli import ExitCode
+from soak.client_connection import ConnectionPool
+from soak.clients import LimiterClients
+from soak.history import ClientBehaviour, History, RequestOutcome
+from soak.request_factory import RequestFactory
+from soak.scenario_runner import ScenarioRunner
+from tests.loopback import OK_RESPONSE, async_test, read_message, running_server
+
+RUN_SECONDS = 0.5
+CONNECTION_LIFETIME_REQUESTS = 2
+
+
+async def respond_slowly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer each request a while after the one before it."""
+    while True:
+        await read_message(reader)
+        await asyncio.sleep(0.02)
+        writer.write(OK_RESPONSE)
+
+
+async def respond_and_reset(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Reset each connection behind its first responses, whatever was sent behind them."""
+    for _ in range(CONNECTION_LIFETIME_REQUESTS):
+        await read_message(reader)
+        writer.write(OK_RESPONSE)
+
+
+def make_clients(address: str, history: History) -> LimiterClients:
+    port = int(address.rpartition(":")[2])
+    factory = RequestFactory(0, 1, history, Random(1), count(1))
+    clients = LimiterClients(0, ConnectionPool(port), factory, history, Random(2))
+    clients.scale_rate(10.0)
+    clients.start_behaviour(ClientBehaviour.PIPELINING, 0.5)
+    return clients
+
+
+async def send_traffic(clients: LimiterClients) -> None:
+    traffic = asyncio.create_task(clients.run())
+    await asyncio.sleep(RUN_SECONDS)
+    traffic.cancel()
+    await clients.finish()
+
+
+@async_test
+async def test_a_pipelining_client_keeps_its_connection_until_the_last_response() -> None:
+    """Another request on it would read the responses of the others."""
+    history = History()
+    async with running_server(respond_slowly) as address:
+        await send_traffic(make_clients(address, history))
+    assert history.runner_errors == []
+    outcomes = {request.outcome for request in history.requests.values()}
+    assert outcomes == {RequestOutcome.RESPONSE_RECEIVED}
+
+
+@async_test
+async def test_pipelined_requests_that_a_reset_leaves_unanswered_are_sent_again() -> None:
+    history = History()
+    async with running_server(respond_and_reset) as address:
+        await send_traffic(make_clients(address, history))
+    assert history.runner_errors == []
+    assert history.open_requests() == []
+    pipelined = [each for each in history.requests.values() if each.behaviour is ClientBehaviour.PIPELINING]
+    assert any(request.resent for request in pipelined)
+    assert all(request.outcome is RequestOutcome.RESPONSE_RECEIVED for request in pipelined)
+
+
+@async_test
+async def test_an_unexpected_error_of_a_client_is_recorded(monkeypatch: pytest.MonkeyPatch) -> None:
+    history = History()
+
+    async def fail(_self: ConnectionPool) -> None:
+        raise RuntimeError("a fault of the soak test")
+
+    monkeypatch.setattr(ConnectionPool, "acquire", fail)
+    async with running_server(respond_slowly) as address:
+        await send_traffic(make_clients(address, history))
+    assert "a fault of the soak test" in history.runner_errors[0]
+
+
+def test_a_failure_of_the_soak_test_has_its_own_exit_code(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def run(_self: ScenarioRunner) -> History:
+        history = History()
+        history.record_runner_error("a client failed", RuntimeError("cause"))
+        return history
+
+    monkeypatch.setattr(ScenarioRunner, "run", run)
+    assert cli.main(["--seed", "1", "--keep", str(tmp_path)]) is ExitCode.SOAK_FAILURE
+    assert "SOAK FAILURE: a client failed" in capsys.readouterr().out
