Soak: excuse a request by the process or connection that the fault hit, and count the excuses

What was seen: UNAVAILABLE, from SIGTERM to the next process's readiness, excused every request without an answer in it; a READ_ERRORS span excused every closed connection of the limiter; a kill within the look-back excused a repeat that is not safe and an answer that never came; a refused connection was in no check. Two tests had histories that the wide excuse let pass (a kill 3 s before the connection's end); they hold both sides now. Each run prints how often each excuse was used.

--- a/soak/cli.py
+++ b/soak/cli.py
@@ -111,6 +111,9 @@
         f"statuses {dict(statuses)}, {len(history.exits)} processes, "
         f"runner late by {max_delay:.3f} s at most, {seconds:.0f} s"
     )
+    if history.excuses:
+        used = ", ".join(f"{reason.value} {count}" for reason, count in history.excuses.most_common())
+        print(f"  excuses: {used}")
     if violations:
         print(
             f"run it again: python -m soak --seed {scenario.seed} --seconds {scenario.seconds:g} "
--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -21,6 +21,12 @@
     writer: asyncio.StreamWriter
     is_new: bool = True
 
+    @property
+    def local_port(self) -> int:
+        """The client's port."""
+        port: int = self.writer.get_extra_info("sockname")[1]
+        return port
+
     def is_reusable(self) -> bool:
         """Whether neither side has closed the connection."""
         return not self.writer.is_closing() and not self.reader.at_eof()
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -23,6 +23,7 @@
     RequestOutcome,
 )
 from soak.request_factory import RequestFactory
+from soak.streams import write_end, write_open
 
 REQUESTS_PER_SECOND = 12.0
 RESPONSE_PATIENCE_SECONDS = 2.0  # after the request's timeout
@@ -159,12 +160,12 @@
             await self._send_request(behaviour, retries - 1)
 
     async def _exchange(self, request: ClientRequest, connection: Connection) -> None:
-        request.begin_exchange(on_new_connection=connection.is_new)
+        request.begin_exchange(connection.local_port, on_new_connection=connection.is_new)
         try:
             await self._write(request, connection.writer)
             request.mark_sent()
             if request.behaviour is ClientBehaviour.HALF_CLOSE:
-                connection.writer.write_eof()
+                write_end(connection.writer)
             await self._receive(request, connection)
         except IncompleteResponseError as error:
             if error.has_head:
@@ -180,12 +181,12 @@
         head = self._factory.format_head(request)
         if request.behaviour is ClientBehaviour.FRAGMENTED_REQUEST:
             for start in range(0, len(head), HEAD_FRAGMENT_BYTES):
-                writer.write(head[start : start + HEAD_FRAGMENT_BYTES])
+                write_open(writer, head[start : start + HEAD_FRAGMENT_BYTES])
                 await asyncio.sleep(HEAD_FRAGMENT_GAP_SECONDS)
         else:
-            writer.write(head)
+            write_open(writer, head)
         for start in range(0, request.body_size, BODY_CHUNK_BYTES):
-            writer.write(b"x" * min(BODY_CHUNK_BYTES, request.body_size - start))
+            write_open(writer, b"x" * min(BODY_CHUNK_BYTES, request.body_size - start))
             await writer.drain()
             if request.body_size > BODY_CHUNK_BYTES:
                 await asyncio.sleep(UPLOAD_GAP_SECONDS)
@@ -228,7 +229,7 @@
             return
         try:
             for request in requests:
-                request.begin_exchange(on_new_connection=request is requests[0])
+                request.begin_exchange(connection.local_port, on_new_connection=request is requests[0])
                 await self._write(request, connection.writer)
                 request.mark_sent()
             for request in requests:
@@ -271,7 +272,7 @@
         sent = head + b"x" * point.sent_body_bytes if point.sent_body_bytes else head[:INCOMPLETE_HEAD_BYTES]
         try:
             connection = await self._connections.connect()
-            connection.writer.write(sent)
+            write_open(connection.writer, sent)
             await connection.writer.drain()
         except OSError:
             request.end(RequestOutcome.CONNECTION_REFUSED)
--- a/soak/endpoint_checks.py
+++ b/soak/endpoint_checks.py
@@ -7,6 +7,7 @@
 from math import sqrt
 from typing import NamedTuple
 
+from soak.excuses import Excuse
 from soak.history import Attempt, ClientRequest, EndpointChange, EndpointHealth, History, Suspension
 from soak.settings import (
     DRAIN_GRACE_SECONDS,
@@ -16,8 +17,9 @@
     WARM_UP_SECONDS,
 )
 from soak.tolerances import (
+    FAULT_FREE_NOTIFICATION_SECONDS,
     WRITE_DELAY_SECONDS,
-    may_be_delayed_by_network,
+    is_excused_by_network,
     notification_deadline,
     timing_tolerance,
 )
@@ -66,7 +68,10 @@
     at = attempt.first_byte_at
     notified_at = notification_deadline(history, request.limiter, draining.change.at)
     latest = notified_at + DRAIN_GRACE_SECONDS + WRITE_DELAY_SECONDS + timing_tolerance(history, at)
-    if at > latest and not may_be_delayed_by_network(history, attempt, at):
+    fault_free_latest = latest - notified_at + draining.change.at + FAULT_FREE_NOTIFICATION_SECONDS
+    if fault_free_latest < at <= latest:
+        history.excuse(Excuse.LATE_NOTIFICATION)
+    if at > latest and not is_excused_by_network(history, attempt, at):
         text = f"attempt at draining {attempt.endpoint} {at - notified_at:.3f} s after the notification"
         yield Violation(Invariant.NOTHING_TO_EXCLUDED_ENDPOINTS, at, text, request.id, request.limiter)
 
@@ -101,7 +106,7 @@
     end = suspension.restored_at or float("inf")
     at = attempt.first_byte_at
     latest = in_force_at + DRAIN_GRACE_SECONDS + WRITE_DELAY_SECONDS + timing_tolerance(history, at)
-    return latest < at < end and not may_be_delayed_by_network(history, attempt)
+    return latest < at < end and not is_excused_by_network(history, attempt)
 
 
 def find_overloads(history: History) -> Iterator[Violation]:
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -11,6 +11,7 @@
 
 from soak.history import Attempt, EndpointHealth, History
 from soak.proxy import LOOPBACK, Address, Proxy
+from soak.streams import write_end, write_open
 
 MIN_SERVICE_SECONDS = 0.004
 MAX_SERVICE_SECONDS = 0.03
@@ -123,7 +124,7 @@
         headers = _parse_headers(head)
         body_size = await _skip_body(reader, headers)
         if "x-request-id" not in headers:
-            writer.write(HEALTH_CHECK_RESPONSE)
+            write_open(writer, HEALTH_CHECK_RESPONSE)
             return True
         attempt = Attempt(
             request_id=headers["x-request-id"].lower(),
@@ -147,7 +148,7 @@
         behaviour = self._behaviour
         if self._rejects(behaviour):
             attempt.reject()
-            writer.write(REJECTION)
+            write_open(writer, REJECTION)
             return True
         service_time = self._random.uniform(MIN_SERVICE_SECONDS, MAX_SERVICE_SECONDS)
         if behaviour.hangs:
@@ -155,7 +156,7 @@
         if await _closes_within(reader, service_time * behaviour.service_time_factor):
             return False
         if self._draw(behaviour.error_fraction):
-            writer.write(ERROR_RESPONSE)
+            write_open(writer, ERROR_RESPONSE)
             return True
         if self._draw(behaviour.reset_fraction):
             return False
@@ -178,16 +179,16 @@
     ) -> bool:
         behaviour = self._behaviour
         if self._draw(behaviour.without_length_fraction):
-            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+            write_open(writer, b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
             await writer.drain()
-            writer.write_eof()
+            write_end(writer)
             return False
         missing = MISSING_BYTES if self._draw(behaviour.incomplete_fraction) else 0
         response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body) + missing, body)
         if self._draw(behaviour.fragmented_fraction):
             await _write_fragments(writer, response)
         else:
-            writer.write(response)
+            write_open(writer, response)
         if missing:
             return not await _closes_within(reader, LONGER_THAN_ANY_RUN_SECONDS)
         await writer.drain()
@@ -197,7 +198,7 @@
 async def _write_fragments(writer: asyncio.StreamWriter, response: bytes) -> None:
     size = max(MIN_FRAGMENT_BYTES, len(response) // FRAGMENTS)
     for start in range(0, len(response), size):
-        writer.write(response[start : start + size])
+        write_open(writer, response[start : start + size])
         await asyncio.sleep(FRAGMENT_GAP_SECONDS)
 
 
--- a/soak/fault_control.py
+++ b/soak/fault_control.py
@@ -18,7 +18,7 @@
 NANOSECONDS_PER_SECOND = 1_000_000_000
 
 # Layout of the control block, ``struct control`` in the library.
-BLOCK_BYTES = 72
+BLOCK_BYTES = 208
 CLOCK_OFFSET_POSITION = 0
 INTERRUPTED_WAITS_POSITION = 40
 MAX_TRANSFER_POSITION = 44
@@ -28,6 +28,8 @@
 STALL_MILLISECONDS_POSITION = 60
 STALLS_POSITION = 64
 CLOCK_READS_POSITION = 68
+FAILED_PEER_PORTS_POSITION = 76
+FAILED_PEER_PORTS = 32
 MILLISECONDS_PER_SECOND = 1000
 INT64 = struct.Struct("=q")
 INT32 = struct.Struct("=i")
@@ -121,6 +123,15 @@
         self._set(STALL_MILLISECONDS_POSITION, int(seconds * MILLISECONDS_PER_SECOND))
         self._set(STALLS_POSITION, count)
 
+    def failed_peer_ports(self) -> set[int]:
+        """Return the peers' ports of the sockets whose read failed; the oldest ones are overwritten."""
+        positions = range(
+            FAILED_PEER_PORTS_POSITION,
+            FAILED_PEER_PORTS_POSITION + FAILED_PEER_PORTS * INT32.size,
+            INT32.size,
+        )
+        return {INT32.unpack_from(self._block, position)[0] for position in positions} - {0}
+
     def clear_call_faults(self) -> None:
         """End all faults of system calls; the clock keeps its error."""
         for call in SystemCall:
--- a/soak/fault_library.c
+++ b/soak/fault_library.c
@@ -23,7 +23,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum { FAIL_WRITING = 1, FAIL_READING = 2, FAIL_LOCKING = 4, MAX_FDS = 4096 };
+enum { FAIL_WRITING = 1, FAIL_READING = 2, FAIL_LOCKING = 4, MAX_FDS = 4096, FAILED_PORTS = 32 };
 enum { STALL_BEFORE_READ = 1, STALL_AFTER_READ = 2, STALL_BEFORE_WRITE = 3, STALL_BEFORE_CLOCK_READ = 4 };
 
 struct control {
@@ -37,6 +37,7 @@
     int32_t directory_errno, directory_calls; /* a mask of FAIL_... */
     int32_t stall_point, stall_ms, stalls; /* the next calls at that point stall the process */
     int32_t clock_reads; /* before the stall at STALL_BEFORE_CLOCK_READ, counted from the next input on */
+    int32_t read_failure_count, failed_peer_ports[FAILED_PORTS]; /* of the sockets whose read failed */
 };
 
 static struct control none, *control = &none;
@@ -85,6 +86,18 @@
     return fstat(fd, &status) == 0 && S_ISSOCK(status.st_mode);
 }
 
+static int read_fails(int fd) {
+    struct sockaddr_in peer = {0};
+    socklen_t size = sizeof peer;
+    if (control->read_failures <= 0 || !is_socket(fd)) return 0;
+    if (!fails(&control->read_failures, control->read_errno)) return 0;
+    getpeername(fd, (struct sockaddr *)&peer, &size);
+    int position = __sync_fetch_and_add(&control->read_failure_count, 1) % FAILED_PORTS;
+    control->failed_peer_ports[position] = ntohs(peer.sin_port);
+    errno = control->read_errno;
+    return 1;
+}
+
 static size_t shortened(int fd, size_t size) {
     size_t most = (size_t)control->max_transfer;
     return most && size > most && is_socket(fd) ? most : size;
@@ -113,8 +126,7 @@
 
 ssize_t read(int fd, void *data, size_t size) {
     REAL(read);
-    if (control->read_failures > 0 && is_socket(fd) && fails(&control->read_failures, control->read_errno))
-        return -1;
+    if (read_fails(fd)) return -1;
     if (control->stalls <= 0 || !is_socket(fd)) return real(fd, data, shortened(fd, size));
     stall(STALL_BEFORE_READ);
     ssize_t result = real(fd, data, shortened(fd, size));
@@ -125,7 +137,7 @@
 
 ssize_t recv(int fd, void *data, size_t size, int flags) {
     REAL(recv);
-    if (fails(&control->read_failures, control->read_errno)) return -1;
+    if (read_fails(fd)) return -1;
     return real(fd, data, shortened(fd, size), flags);
 }
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,13 +7,15 @@
 
 import time
 import traceback
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from soak.excuses import Excuse
 from soak.fault_kinds import FaultKind
+from soak.process_lifetime import ProcessLifetime
 
 TRUNCATED_RESPONSE_STATUS = -1
 ALL_LIMITERS = -1
@@ -84,13 +86,16 @@
     sent_at: float = 0.0  # time of the last byte; 0: not sent completely
     on_new_connection: bool = False
     resent: bool = False  # on a new connection, after the limiter closed an idle one
+    resent_at: float = 0.0
+    client_port: int = 0  # of the connection that carried it last
     outcome: RequestOutcome = RequestOutcome.OPEN
     status: int = 0
     body: bytes = b""
     ended_at: float = 0.0
 
-    def begin_exchange(self, *, on_new_connection: bool) -> None:
+    def begin_exchange(self, client_port: int, *, on_new_connection: bool) -> None:
         """Record that the request is sent on a connection."""
+        self.client_port = client_port
         self.on_new_connection = on_new_connection
         self.outcome = RequestOutcome.OPEN
 
@@ -101,6 +106,7 @@
     def mark_resent(self) -> None:
         """Record that the client sends the request a second time."""
         self.resent = True
+        self.resent_at = time.monotonic()
 
     def receive_response(self, status: int, body: bytes = b"") -> None:
         """Record the response; ``TRUNCATED_RESPONSE_STATUS`` if it ended within its body."""
@@ -260,6 +266,10 @@
     network_faults: list[NetworkFault] = field(default_factory=list)
     incomplete_requests: list[IncompleteRequest] = field(default_factory=list)
     replies: list[CommandReply] = field(default_factory=list)
+    processes: list[ProcessLifetime] = field(default_factory=list)
+    held_accept_queues: set[int] = field(default_factory=set)  # limiters whose listening socket stays open
+    failed_reads: dict[int, set[int]] = field(default_factory=lambda: defaultdict(set))  # ports by limiter
+    excuses: Counter[Excuse] = field(default_factory=Counter)
     exits: list[ProcessExit] = field(default_factory=list)
     metrics: dict[int, dict[str, int]] = field(default_factory=dict)  # of limiters that never restarted
     runner_delays: list[RunnerDelay] = field(default_factory=list)
@@ -292,6 +302,16 @@
         yield
         self.spans.append(Span(kind, limiter, start, time.monotonic()))
 
+    def excuse(self, reason: Excuse, *, applies: bool = True) -> bool:
+        """Count an excuse if it applies; return whether it does."""
+        if applies:
+            self.excuses[reason] += 1
+        return applies
+
+    def processes_of(self, limiter: int) -> list[ProcessLifetime]:
+        """Return the processes of a limiter."""
+        return [process for process in self.processes if process.limiter == limiter]
+
     def runner_delay_around(self, at: float) -> float:
         """Return the seconds by which times recorded around a moment may be off."""
         return max(
--- a/soak/limiter.py
+++ b/soak/limiter.py
@@ -19,6 +19,7 @@
 from soak.history import CommandReply, History, LimiterState, ProcessExit
 from soak.limiter_process import LimiterProcess
 from soak.ports import free_port
+from soak.process_lifetime import ProcessLifetime
 from soak.proxy import LOOPBACK, Address, Proxy
 from soak.settings import MAX_DEADLINE_SECONDS, make_settings
 
@@ -65,6 +66,8 @@
         self._exit_watches = set[asyncio.Task[None]]()
         self._listening_socket = _create_inheritable_listener() if accept_queue_held else None
         self.port = _port_of(self._listening_socket) if self._listening_socket else free_port()
+        if accept_queue_held:
+            history.held_accept_queues.add(index)
 
     @property
     def current_process(self) -> LimiterProcess | None:
@@ -119,7 +122,9 @@
                 stderr=log,
                 pass_fds=descriptors,
             )
-        started = LimiterProcess(process, admin_port, log_path)
+        lifetime = ProcessLifetime(self.index, time.monotonic())
+        self._history.processes.append(lifetime)
+        started = LimiterProcess(process, admin_port, log_path, lifetime)
         self._processes.append(started)
         watch = asyncio.create_task(self._record_exit(started))
         self._exit_watches.add(watch)
@@ -148,12 +153,14 @@
                 log = started.log_text[-LOG_TAIL_CHARACTERS:]
                 raise SoakError(f"limiter {self.index} exited during its start: {log}")
             if await started.send_command("STATUS") == SUCCESS:
+                started.lifetime.record_ready()
                 return
             await asyncio.sleep(READY_POLL_SECONDS)
         raise SoakError(f"limiter {self.index} was not ready within {READY_TIMEOUT_SECONDS:.0f} s")
 
     async def _record_exit(self, started: LimiterProcess) -> None:
         code = await started.wait()
+        started.lifetime.record_exit()
         if started in self._processes:
             self._processes.remove(started)
         self._history.exits.append(
@@ -183,6 +190,10 @@
             process.end_with(signal.SIGKILL)
             await process.wait()
 
+    def record_failed_reads(self) -> None:
+        """Record the client connections that the fault library has failed to read."""
+        self._history.failed_reads[self.index] |= self.control.failed_peer_ports()
+
     async def command(self, command: str) -> str:
         """Send an operator's command to the current process and record the reply; return it."""
         process = self.current_process
--- a/soak/limiter_process.py
+++ b/soak/limiter_process.py
@@ -8,7 +8,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from soak.process_lifetime import ProcessLifetime
 from soak.proxy import LOOPBACK
+from soak.streams import write_open
 
 COMMAND_TIMEOUT_SECONDS = 3.0
 
@@ -20,6 +22,7 @@
     process: asyncio.subprocess.Process
     admin_port: int
     log_path: Path
+    lifetime: ProcessLifetime
     exit_expected: bool = False
 
     @property
@@ -35,6 +38,10 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process still runs."""
         if self.is_running:
+            if number is signal.SIGTERM:
+                self.lifetime.record_sigterm()
+            if number is signal.SIGKILL:
+                self.lifetime.record_sigkill()
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
@@ -52,7 +59,7 @@
         try:
             async with asyncio.timeout(COMMAND_TIMEOUT_SECONDS):
                 reader, writer = await asyncio.open_connection(LOOPBACK, self.admin_port)
-                writer.write(command.encode() + b"\n")
+                write_open(writer, command.encode() + b"\n")
                 reply = await reader.read()
                 writer.close()
         except (OSError, TimeoutError):
--- a/soak/process_checks.py
+++ b/soak/process_checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from http import HTTPStatus
 
+from soak.excuses import Excuse
 from soak.fault_kinds import FaultKind
 from soak.history import History, LimiterState
 from soak.tolerances import timing_tolerance
@@ -34,8 +35,9 @@
         start, end = reply.sent_at, reply.received_at
         waited = end - start - history.span_seconds(LimiterState.STOPPED, reply.limiter, start, end)
         is_late = waited > REPLY_TIMEOUT_SECONDS + timing_tolerance(history, end)
-        if (is_late or not reply.text) and not history.is_affected(
-            reply.limiter, start, end, *REPLY_DELAYING_KINDS
+        if (is_late or not reply.text) and not history.excuse(
+            Excuse.ADMIN_UNREACHABLE,
+            applies=history.is_affected(reply.limiter, start, end, *REPLY_DELAYING_KINDS),
         ):
             text = f"{reply.command}: {reply.text or 'no reply'} after {waited:.3f} s"
             yield Violation(Invariant.ADMIN_REPLY, end, text, limiter=reply.limiter)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,6 +6,8 @@
 import contextlib
 from typing import NamedTuple
 
+from soak.streams import write_open
+
 READ_BYTES = 65536
 BLACKHOLE_POLL_SECONDS = 0.02
 FRAGMENT_GAP_SECONDS = 0.001
@@ -144,7 +146,7 @@
             await self._wait_for_network()
             limit = self._max_response_bytes
             if limit and forwarded + len(data) > limit:
-                writer.write(data[: max(0, limit - forwarded)])
+                write_open(writer, data[: max(0, limit - forwarded)])
                 await writer.drain()
                 writer.transport.abort()  # an orderly close would complete a response without a length
                 return
@@ -160,9 +162,9 @@
     async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         size = self._fragment_bytes
         if not size:
-            writer.write(data)
+            write_open(writer, data)
         else:
             for start in range(0, len(data), size):
-                writer.write(data[start : start + size])
+                write_open(writer, data[start : start + size])
                 await asyncio.sleep(FRAGMENT_GAP_SECONDS)
         await writer.drain()
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -8,8 +8,17 @@
 from itertools import pairwise
 from typing import NamedTuple
 
-from soak.fault_kinds import FaultKind
-from soak.history import Attempt, ClientBehaviour, ClientRequest, History, LimiterState, RequestOutcome
+from soak.excuses import Excuse
+from soak.history import (
+    Attempt,
+    ClientBehaviour,
+    ClientRequest,
+    History,
+    IncompleteRequest,
+    LimiterState,
+    RequestOutcome,
+)
+from soak.process_lifetime import ProcessLifetime, seconds_without_accepting_process
 from soak.settings import (
     CEILING_BURST_UNITS,
     CEILING_RATE_UNITS_PER_SECOND,
@@ -17,11 +26,11 @@
     PlanName,
     RequestClass,
 )
-from soak.tolerances import WRITE_DELAY_SECONDS, may_be_delayed_by_network, timing_tolerance
+from soak.tolerances import WRITE_DELAY_SECONDS, is_excused_by_network, timing_tolerance
 from soak.violations import Invariant, Violation
 
 RESPONSE_GRACE_SECONDS = 0.5  # after the client's timeout
-SPAN_LOOKBACK_SECONDS = 0.1
+KILL_GRACE_SECONDS = 0.7  # after SIGTERM; what arrives up to then is owed its answer before SIGKILL
 LONG_RESPONSE_BYTES = 64 * 1024
 DISCONNECT_GRACE_SECONDS = 0.1
 DEADLINE_TOLERANCE_SECONDS = 0.15
@@ -37,7 +46,8 @@
 def find_unanswered_requests(history: History) -> Iterator[Violation]:
     """Find requests that were sent completely and got no response, or a late one."""
     for request in history.requests.values():
-        if not request.sent_at or request.behaviour is ClientBehaviour.INCOMPLETE_REQUEST:
+        was_refused = request.outcome is RequestOutcome.CONNECTION_REFUSED
+        if not (request.sent_at or was_refused) or request.behaviour is ClientBehaviour.INCOMPLETE_REQUEST:
             continue
         text = ""
         if request.outcome is RequestOutcome.RESPONSE_RECEIVED:
@@ -46,6 +56,8 @@
                 text = f"response {request.status} received {delay:.3f} s too late"
         elif _has_no_response(request) and not _may_lack_response(history, request):
             text = request.outcome.value
+        elif request.outcome is RequestOutcome.CONNECTION_REFUSED and not _may_be_refused(history, request):
+            text = "connection refused although a process had to accept"
         if text:
             yield Violation(
                 Invariant.EVERY_REQUEST_ANSWERED, request.ended_at, text, request.id, request.limiter
@@ -54,12 +66,27 @@
 
 def _response_delay(history: History, request: ClientRequest) -> float:
     """Return the seconds by which a response was late, without the time the limiter could not run."""
-    paused = sum(
-        history.span_seconds(state, request.limiter, request.sent_at, request.ended_at)
-        for state in (LimiterState.STOPPED, LimiterState.UNAVAILABLE)
-    )
     latest = request.sent_at + request.timeout + RESPONSE_GRACE_SECONDS
-    return request.ended_at - latest - paused - timing_tolerance(history, request.ended_at)
+    delay = request.ended_at - latest - timing_tolerance(history, request.ended_at)
+    if delay <= 0 or _is_response_time_unbounded(request):
+        return delay
+    stopped = _stopped_seconds(history, request)
+    at_door = _seconds_at_door(history, request)
+    if delay <= stopped + at_door:
+        history.excuse(Excuse.PROCESS_STOPPED if stopped else Excuse.LEFT_AT_DOOR)
+    return delay - stopped - at_door
+
+
+def _stopped_seconds(history: History, request: ClientRequest) -> float:
+    return history.span_seconds(LimiterState.STOPPED, request.limiter, request.sent_at, request.ended_at)
+
+
+def _seconds_at_door(history: History, request: ClientRequest) -> float:
+    """Return the time in which a new connection waited in a held queue from which no process accepted."""
+    if not request.on_new_connection or request.limiter not in history.held_accept_queues:
+        return 0.0
+    processes = history.processes_of(request.limiter)
+    return seconds_without_accepting_process(processes, request.sent_at, request.ended_at)
 
 
 def _is_response_time_unbounded(request: ClientRequest) -> bool:
@@ -75,16 +102,39 @@
 
 
 def _may_lack_response(history: History, request: ClientRequest) -> bool:
-    """Whether the process was killed or stopped, no process was available, or reads failed."""
-    limiter = request.limiter
-    kinds: tuple[FaultKind | LimiterState, ...] = (FaultKind.KILL, LimiterState.UNAVAILABLE)
+    """Whether the process could not run, or the connection ended by a kill or a failed read."""
     if request.outcome is RequestOutcome.TIMED_OUT:
-        stopped = history.span_seconds(LimiterState.STOPPED, limiter, request.sent_at, request.ended_at)
-        if request.ended_at - stopped < request.sent_at + request.timeout + RESPONSE_GRACE_SECONDS:
-            return True
-    else:
-        kinds += (FaultKind.READ_ERRORS,)
-    return history.is_affected(limiter, request.sent_at - SPAN_LOOKBACK_SECONDS, request.ended_at, *kinds)
+        due_at = request.sent_at + request.timeout + RESPONSE_GRACE_SECONDS
+        stopped = _stopped_seconds(history, request)
+        if request.ended_at - stopped < due_at:
+            return history.excuse(Excuse.PROCESS_STOPPED)
+        at_door = _seconds_at_door(history, request)
+        return history.excuse(Excuse.LEFT_AT_DOOR, applies=request.ended_at - stopped - at_door < due_at)
+    if request.client_port in history.failed_reads.get(request.limiter, ()):
+        return history.excuse(Excuse.READ_FAILED)
+    killed = _process_killed_around(history, request.limiter, request.ended_at)
+    if killed is None:
+        return False
+    if not killed.terminated_at:
+        return history.excuse(Excuse.KILLED)
+    arrived_late = request.sent_at > killed.terminated_at + KILL_GRACE_SECONDS
+    return history.excuse(Excuse.KILLED_IN_SHUTDOWN, applies=arrived_late)
+
+
+def _process_killed_around(history: History, limiter: int, at: float) -> ProcessLifetime | None:
+    """Return the process whose SIGKILL may have ended a connection at ``at``."""
+    tolerance = timing_tolerance(history, at)
+    processes = history.processes_of(limiter)
+    return next((process for process in processes if process.was_killed_around(at, tolerance)), None)
+
+
+def _may_be_refused(history: History, request: ClientRequest) -> bool:
+    """Whether no process had to accept at some moment around the refusal."""
+    tolerance = timing_tolerance(history, request.ended_at)
+    uncovered = seconds_without_accepting_process(
+        history.processes_of(request.limiter), request.ended_at - tolerance, request.ended_at + tolerance
+    )
+    return history.excuse(Excuse.NO_PROCESS, applies=uncovered > 0)
 
 
 def find_foreign_responses(history: History) -> Iterator[Violation]:
@@ -130,21 +180,21 @@
     history: History, request: ClientRequest, first: Attempt, previous: Attempt, repeated: Attempt
 ) -> str:
     """Return the text of the violation; empty if the repetition is allowed."""
-    if request.resent and history.is_affected(
-        request.limiter, previous.first_byte_at, repeated.complete_at, FaultKind.KILL
-    ):
-        return ""  # the client took the kill for the close of an idle connection and sent the request again
+    # The client took the kill for the close of an idle connection.
+    if request.resent and _process_killed_around(history, request.limiter, request.resent_at) is not None:
+        history.excuse(Excuse.RESENT_AFTER_KILL)
+        return ""
     if request.request_class == RequestClass.POST:
         return "a request that is not idempotent was executed twice"
     tolerance = timing_tolerance(history, repeated.complete_at)
     age = repeated.complete_at - first.complete_at
     is_late = age > DEDUPLICATION_WINDOW_SECONDS + tolerance
     is_keyed = request.request_class == RequestClass.KEYED
-    if is_keyed and is_late and not may_be_delayed_by_network(history, repeated):
+    if is_keyed and is_late and not is_excused_by_network(history, repeated):
         return f"a request with an idempotency key was repeated after {age:.3f} s"
     previous_end = previous.ended_at or repeated.ended_at or repeated.complete_at
     overlap = previous_end - repeated.complete_at
-    if overlap > tolerance and not may_be_delayed_by_network(history, previous, repeated.complete_at):
+    if overlap > tolerance and not is_excused_by_network(history, previous, repeated.complete_at):
         return f"two attempts were in flight together for {overlap:.3f} s"
     return ""
 
@@ -157,7 +207,7 @@
         for attempt in _attempts_of(history, request):
             delay = attempt.first_byte_at - request.ended_at
             allowed = DISCONNECT_GRACE_SECONDS + timing_tolerance(history, attempt.first_byte_at)
-            if delay > allowed and not may_be_delayed_by_network(history, attempt):
+            if delay > allowed and not is_excused_by_network(history, attempt):
                 text = f"an attempt started {delay:.3f} s after the client disconnected"
                 yield Violation(
                     Invariant.EVERY_REQUEST_ANSWERED,
@@ -174,11 +224,12 @@
         if request.behaviour is ClientBehaviour.LONG_UPLOAD or not request.sent_at:
             continue
         for attempt in _attempts_of(history, request):
-            if not attempt.propagated_deadline or may_be_delayed_by_network(history, attempt):
+            if not attempt.propagated_deadline:
                 continue
             remaining = request.sent_at + request.timeout - attempt.first_byte_at
             tolerance = DEADLINE_TOLERANCE_SECONDS + timing_tolerance(history, attempt.first_byte_at)
-            if attempt.propagated_deadline - remaining > tolerance:
+            is_excessive = attempt.propagated_deadline - remaining > tolerance
+            if is_excessive and not is_excused_by_network(history, attempt):
                 text = f"deadline {attempt.propagated_deadline:.3f} s, {remaining:.3f} s remained"
                 yield Violation(
                     Invariant.DEADLINE_PROPAGATION,
@@ -239,12 +290,16 @@
             + timing_tolerance(history, due_at)
             + history.span_seconds(LimiterState.STOPPED, incomplete.limiter, incomplete.stopped_at, due_at)
         )
-        was_unavailable = history.is_affected(
-            incomplete.limiter,
-            incomplete.stopped_at - SPAN_LOOKBACK_SECONDS,
-            incomplete.stopped_at + allowed,
-            LimiterState.UNAVAILABLE,
-        )
-        if waited > allowed and not was_unavailable:
+        if waited > allowed and not _was_left_at_door(history, incomplete, waited - allowed):
             text = f"a client that stopped within its {incomplete.sent_part} waited {waited:.2f} s"
             yield Violation(Invariant.INCOMPLETE_REQUEST_TIMEOUT, due_at, text, limiter=incomplete.limiter)
+
+
+def _was_left_at_door(history: History, incomplete: IncompleteRequest, excess: float) -> bool:
+    """Whether the connection waited for so long in a held queue from which no process accepted."""
+    if incomplete.limiter not in history.held_accept_queues:
+        return False
+    end = incomplete.ended_at or incomplete.stopped_at + INCOMPLETE_REQUEST_TIMEOUT_SECONDS
+    processes = history.processes_of(incomplete.limiter)
+    at_door = seconds_without_accepting_process(processes, incomplete.stopped_at, end)
+    return history.excuse(Excuse.LEFT_AT_DOOR, applies=at_door >= excess)
--- a/soak/system_faults.py
+++ b/soak/system_faults.py
@@ -92,3 +92,4 @@
             control.interrupt_waits(INTERRUPTED_WAITS)
         await asyncio.sleep(fault.duration)
         control.clear_call_faults()
+        limiter.record_failed_reads()
--- a/soak/tolerances.py
+++ b/soak/tolerances.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from soak.excuses import Excuse
 from soak.fault_kinds import FaultKind
 from soak.history import Attempt, History, LimiterState
 
@@ -40,6 +41,11 @@
     )
 
 
+def is_excused_by_network(history: History, attempt: Attempt, until: float | None = None) -> bool:
+    """Whether a network fault excuses what would be a violation otherwise; it is counted."""
+    return history.excuse(Excuse.NETWORK_FAULT, applies=may_be_delayed_by_network(history, attempt, until))
+
+
 def notification_deadline(history: History, limiter: int, at: float) -> float:
     """Return the latest time at which a limiter has to know of a change that discovery had at ``at``."""
     latest = at + MAX_NOTIFICATION_SECONDS
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -8,6 +8,7 @@
 
 from soak.checker import check_history
 from soak.endpoint_checks import allowed_requests
+from soak.excuses import Excuse
 from soak.fault_kinds import FaultKind
 from soak.history import (
     ALL_LIMITERS,
@@ -26,6 +27,7 @@
     Span,
     Suspension,
 )
+from soak.process_lifetime import ProcessLifetime
 from soak.settings import PlanName, RequestClass
 from soak.violations import Invariant
 
@@ -74,10 +76,69 @@
 
 @pytest.mark.parametrize("outcome", [RequestOutcome.CONNECTION_CLOSED, RequestOutcome.TIMED_OUT])
 def test_a_request_without_a_response_is_found_unless_its_process_was_killed(outcome: RequestOutcome) -> None:
+    """The kill has to be the end of its connection; a client without an answer had a connection left."""
     history = make_history(replace(REQUEST, outcome=outcome, ended_at=13.0))
     assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
     history.spans.append(Span(FaultKind.KILL, 0, 9.99, 10.3))
+    history.processes.append(ProcessLifetime(0, 1.0, ready_at=1.5, killed_at=9.99, exited_at=10.0))
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.processes.append(ProcessLifetime(0, 10.1, ready_at=10.4, killed_at=12.98, exited_at=12.99))
+    is_excused = outcome is RequestOutcome.CONNECTION_CLOSED
+    assert (violated_invariants(history) == []) is is_excused
+    assert history.excuses[Excuse.KILLED] == is_excused
+
+
+def test_a_request_that_arrived_before_or_early_in_a_shutdown_is_owed_its_answer() -> None:
+    """Only what SIGKILL finds unanswered, and arrived over 0.7 s after SIGTERM, has none."""
+    closed = replace(REQUEST, outcome=RequestOutcome.CONNECTION_CLOSED, ended_at=12.71)
+    history = make_history(closed)
+    by_itself = ProcessLifetime(0, 1.0, ready_at=1.5, terminated_at=9.0, exited_at=12.7)
+    history.processes.append(by_itself)
+    history.spans.append(Span(LimiterState.UNAVAILABLE, 0, 9.0, 14.0))
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.processes[0] = replace(by_itself, terminated_at=9.5, killed_at=12.69)
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.processes[0] = replace(by_itself, terminated_at=9.2, killed_at=12.69)
+    assert violated_invariants(history) == []
+    assert history.excuses[Excuse.KILLED_IN_SHUTDOWN] == 1
+
+
+def test_a_request_on_another_connection_than_that_of_a_failed_read_is_found() -> None:
+    closed = replace(REQUEST, outcome=RequestOutcome.CONNECTION_CLOSED, client_port=4001)
+    history = make_history(closed)
+    history.spans.append(Span(FaultKind.READ_ERRORS, 0, 9.0, 11.0))
+    history.failed_reads[0] = {4000}
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.failed_reads[0] = {4000, 4001}
+    assert violated_invariants(history) == []
+
+
+def test_a_request_that_waited_for_a_process_is_found_unless_the_platform_holds_the_queue() -> None:
+    waited = replace(REQUEST, outcome=RequestOutcome.TIMED_OUT, ended_at=13.0, on_new_connection=True)
+    history = make_history(waited)
+    history.spans.append(Span(LimiterState.UNAVAILABLE, 0, 9.0, 12.8))
+    history.processes.append(ProcessLifetime(0, 12.0, ready_at=12.8))
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.held_accept_queues.add(0)
     assert violated_invariants(history) == []
+    peer = ProcessLifetime(0, 1.0, ready_at=1.5)  # a process that has to accept
+    history.processes.append(peer)
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+
+
+@pytest.mark.parametrize("is_resent", [False, True])
+def test_a_refused_connection_is_found_while_a_process_has_to_accept(is_resent: bool) -> None:
+    refused = replace(REQUEST, outcome=RequestOutcome.CONNECTION_REFUSED, resent=is_resent, status=0)
+    history = make_history(refused)
+    running = ProcessLifetime(0, 1.0, ready_at=1.5)
+    history.processes.append(running)
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.processes[0] = replace(running, terminated_at=9.9)  # new connections arrive for 0.4 s
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.processes[0] = replace(running, terminated_at=9.7)
+    assert violated_invariants(history) == []
+    history.processes.append(ProcessLifetime(0, 5.0, ready_at=5.5))
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
 
 
 def test_a_late_response_is_found_without_the_time_that_the_process_was_stopped() -> None:
@@ -96,8 +157,11 @@
 def test_a_request_that_is_not_idempotent_and_was_executed_twice_is_found() -> None:
     second = replace(ATTEMPT, endpoint="s-2", first_byte_at=10.3, complete_at=10.3, propagated_deadline=0.6)
     assert violated_invariants(make_history(REQUEST, ATTEMPT, second)) == [Invariant.NO_REPEATED_EXECUTION]
-    resent = make_history(replace(REQUEST, resent=True), ATTEMPT, second)
+    resent = make_history(replace(REQUEST, resent=True, resent_at=10.25), ATTEMPT, second)
     resent.spans.append(Span(FaultKind.KILL, 0, 10.1, 10.2))
+    resent.processes.append(ProcessLifetime(0, 1.0, ready_at=1.5, killed_at=10.0, exited_at=10.01))
+    assert violated_invariants(resent) == [Invariant.NO_REPEATED_EXECUTION]
+    resent.processes.append(ProcessLifetime(0, 1.0, ready_at=1.5, killed_at=10.2, exited_at=10.21))
     assert violated_invariants(resent) == []
     rejected = replace(ATTEMPT, executed=False)
     assert violated_invariants(make_history(REQUEST, rejected, second)) == []
