--- a/soak/cli.py
+++ b/soak/cli.py
@@ -23,7 +23,7 @@
 from soak.checker import check_history
 from soak.errors import SoakError
 from soak.fault_control import build_library
-from soak.fault_kinds import FAULT_SPECS
+from soak.fault_kinds import FAULT_SPECS, FIRST_VERSION, LATEST_VERSION
 from soak.history import History
 from soak.request_trace import format_trace
 from soak.scenario import MIN_RUN_SECONDS, Scenario, make_scenario
@@ -65,6 +65,13 @@
     parser.add_argument("--limiters", type=int, default=24, help="number of limiters (24)")
     parser.add_argument("--list", action="store_true", help="list the kinds of faults and exit")
     parser.add_argument("--scenario", action="store_true", help="print the scenario of the seed and exit")
+    parser.add_argument(
+        "--scenario-version",
+        type=int,
+        choices=range(FIRST_VERSION, LATEST_VERSION + 1),
+        default=LATEST_VERSION,
+        help=f"version of the scenarios ({LATEST_VERSION}); 1 has fewer kinds of faults",
+    )
     parser.add_argument("--keep", type=Path, help="keep logs and files in this directory")
     options = parser.parse_args(arguments)
     if options.list:
@@ -117,10 +124,14 @@
     if violations:
         print(
             f"run it again: python -m soak --seed {scenario.seed} --seconds {scenario.seconds:g} "
-            f"--limiters {scenario.limiter_count}"
+            f"--limiters {scenario.limiter_count} --scenario-version {scenario.version}"
         )
 
 
+def _make_scenario(seed: int, options: argparse.Namespace) -> Scenario:
+    return make_scenario(seed, options.seconds, options.limiters, options.scenario_version)
+
+
 def _run_seeds(options: argparse.Namespace) -> ExitCode:
     seeds = options.seeds or [options.seed]
     violating_seeds = list[int]()
@@ -128,7 +139,7 @@
     with tempfile.TemporaryDirectory(prefix="soak-") as scratch:
         library = build_library(Path(scratch))
         for seed in seeds:
-            scenario = make_scenario(seed, options.seconds, options.limiters)
+            scenario = _make_scenario(seed, options)
             print(scenario.describe(), flush=True)
             directory = (options.keep or Path(scratch)) / f"seed-{seed}"
             directory.mkdir(parents=True)
@@ -160,7 +171,7 @@
             return ExitCode.NO_VIOLATION
         if options.scenario:
             for seed in options.seeds or [options.seed]:
-                print(make_scenario(seed, options.seconds, options.limiters).describe())
+                print(_make_scenario(seed, options).describe())
             return ExitCode.NO_VIOLATION
         return _run_seeds(options)
     except (SoakError, OSError) as error:
--- a/soak/client_faults.py
+++ b/soak/client_faults.py
@@ -11,6 +11,7 @@
 from soak.scenario import Fault
 
 BURST_FACTOR = 4
+CROWD_CONNECTIONS = 300  # over half of the descriptors of a limiter, which are for its clients
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,13 +30,14 @@
     FaultKind.LONG_UPLOADS: _FaultyBehaviour(ClientBehaviour.LONG_UPLOAD, 0.2),
     FaultKind.IMMEDIATE_RETRIES: _FaultyBehaviour(ClientBehaviour.IMMEDIATE_RETRIES, 1.0),
     FaultKind.FRAGMENTED_REQUESTS: _FaultyBehaviour(ClientBehaviour.FRAGMENTED_REQUEST, 0.5),
+    FaultKind.RESTING_CLIENTS: _FaultyBehaviour(ClientBehaviour.RESTING, 0.25),
 }
 
 
 class ClientFaults:
     """Faulty behaviour or a burst of the clients of one limiter."""
 
-    KINDS = frozenset({*FAULTY_BEHAVIOURS, FaultKind.TRAFFIC_BURST})
+    KINDS = frozenset({*FAULTY_BEHAVIOURS, FaultKind.TRAFFIC_BURST, FaultKind.CROWD})
 
     async def inject(self, clients: LimiterClients, fault: Fault) -> None:
         """Let the clients show a fault for its duration."""
@@ -44,6 +46,9 @@
             await asyncio.sleep(fault.duration)
             clients.scale_rate(1 / BURST_FACTOR)
             return
+        if fault.kind is FaultKind.CROWD:
+            await clients.crowd(CROWD_CONNECTIONS, fault.duration)
+            return
         faulty = FAULTY_BEHAVIOURS[fault.kind]
         clients.start_behaviour(faulty.behaviour, faulty.fraction)
         await asyncio.sleep(fault.duration)
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -40,6 +40,10 @@
 BODY_CHUNK_BYTES = 30_000
 UPLOAD_GAP_SECONDS = 0.02
 INCOMPLETE_HEAD_BYTES = 60
+MIN_REST_SECONDS = 0.2
+MAX_REST_SECONDS = 4.0  # a limiter may end an idle connection after 2 s
+MAX_CROWD_GAP_SECONDS = 0.3  # between two connections of one client of a crowd
+LONGER_THAN_ANY_RUN_SECONDS = 3600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +137,8 @@
             sending = self._send_incomplete_request()
         elif behaviour is ClientBehaviour.PIPELINING:
             sending = self._send_pipelined_requests()
+        elif behaviour is ClientBehaviour.RESTING:
+            sending = self._rest_between_requests()
         else:
             sending = self._send_request(behaviour, MAX_RETRIES)
         task = asyncio.create_task(sending)
@@ -161,12 +167,23 @@
 
     async def _exchange(self, request: ClientRequest, connection: Connection) -> None:
         request.begin_exchange(connection.local_port, on_new_connection=connection.is_new)
+        response = await self._exchange_once(request, connection)
+        if response is None:
+            if request.outcome is not RequestOutcome.DISCONNECTED:
+                connection.abort()
+        elif response.keeps_connection and request.behaviour is not ClientBehaviour.HALF_CLOSE:
+            self._connections.release(connection)
+        else:
+            connection.close()
+
+    async def _exchange_once(self, request: ClientRequest, connection: Connection) -> Response | None:
+        """Send a request and wait for its response; return None and end the request if there is none."""
         try:
             await self._write(request, connection.writer)
             request.mark_sent()
             if request.behaviour is ClientBehaviour.HALF_CLOSE:
                 write_end(connection.writer)
-            await self._receive(request, connection)
+            return await self._wait_for_response(request, connection)
         except IncompleteResponseError as error:
             if error.has_head:
                 request.receive_response(TRUNCATED_RESPONSE_STATUS)
@@ -174,8 +191,7 @@
                 request.end(RequestOutcome.CONNECTION_CLOSED)
         except OSError:
             request.end(RequestOutcome.CONNECTION_CLOSED)
-        if not request.has_complete_response:
-            connection.abort()
+        return None
 
     async def _write(self, request: ClientRequest, writer: asyncio.StreamWriter) -> None:
         head = self._factory.format_head(request)
@@ -191,16 +207,6 @@
             if request.body_size > BODY_CHUNK_BYTES:
                 await asyncio.sleep(UPLOAD_GAP_SECONDS)
 
-    async def _receive(self, request: ClientRequest, connection: Connection) -> None:
-        """Wait for the response, then reuse the connection or close it."""
-        response = await self._wait_for_response(request, connection)
-        if response is None:
-            return
-        if response.keeps_connection and request.behaviour is not ClientBehaviour.HALF_CLOSE:
-            self._connections.release(connection)
-        else:
-            connection.close()
-
     async def _wait_for_response(self, request: ClientRequest, connection: Connection) -> Response | None:
         """Wait as long as the client's behaviour says; return None if it gave up."""
         disconnects = request.behaviour is ClientBehaviour.DISCONNECT
@@ -212,12 +218,18 @@
                 response = await read_response(connection.reader)
         except TimeoutError:
             request.end(RequestOutcome.DISCONNECTED if disconnects else RequestOutcome.TIMED_OUT)
-            if disconnects and self._random.random() < CLOSE_ON_DISCONNECT_FRACTION:
-                connection.close()
+            if disconnects:
+                self._disconnect(connection)
             return None
         request.receive_response(response.status, response.body)
         return response
 
+    def _disconnect(self, connection: Connection) -> None:
+        if self._random.random() < CLOSE_ON_DISCONNECT_FRACTION:
+            connection.close()
+        else:
+            connection.abort()
+
     async def _send_pipelined_requests(self) -> None:
         """Send several requests at once on one connection; the responses arrive in the same order."""
         requests = [self._factory.make(ClientBehaviour.PIPELINING) for _ in range(PIPELINED_REQUESTS)]
@@ -264,6 +276,55 @@
         except OSError:
             request.end(RequestOutcome.CONNECTION_REFUSED)
 
+    async def _rest_between_requests(self) -> None:
+        """Send a request, rest until the limiter ends the connection or a while, and send another one.
+
+        The second one may cross the limiter's end of the connection, and is sent again then.
+        """
+        first = self._factory.make(ClientBehaviour.RESTING)
+        try:
+            connection = await self._connections.connect()
+        except OSError:
+            first.end(RequestOutcome.CONNECTION_REFUSED)
+            return
+        first.begin_exchange(connection.local_port, on_new_connection=True)
+        response = await self._exchange_once(first, connection)
+        if response is None or not response.keeps_connection:
+            connection.abort()
+            return
+        connection.mark_reused()
+        if await _ends_within(connection, self._random.uniform(MIN_REST_SECONDS, MAX_REST_SECONDS)):
+            connection.abort()
+            return
+        second = self._factory.make(ClientBehaviour.RESTING)
+        await self._exchange(second, connection)
+        if second.outcome is RequestOutcome.CONNECTION_CLOSED:
+            await self._resend(second)
+
+    async def crowd(self, count: int, seconds: float) -> None:
+        """Hold idle connections open for a time; those that the limiter closes are replaced."""
+        crowd = [asyncio.create_task(self._hold_idle_connections()) for _ in range(count)]
+        for member in crowd:
+            self._tasks.add(member)
+            member.add_done_callback(self._on_task_done)
+        await asyncio.sleep(seconds)
+        for member in crowd:
+            member.cancel()
+
+    async def _hold_idle_connections(self) -> None:
+        while True:
+            await asyncio.sleep(self._random.uniform(0.0, MAX_CROWD_GAP_SECONDS))
+            if not self._may_connect:
+                continue
+            try:
+                connection = await self._connections.connect()
+            except OSError:
+                continue
+            try:
+                await _ends_within(connection, LONGER_THAN_ANY_RUN_SECONDS)
+            finally:
+                connection.abort()
+
     async def _send_incomplete_request(self) -> None:
         """Stop within a request, stay connected, and record when the limiter ends the exchange."""
         point = self._random.choice(STOPPING_POINTS)
@@ -290,6 +351,18 @@
     return next(request for request in requests if request.outcome is RequestOutcome.OPEN)
 
 
+async def _ends_within(connection: Connection, seconds: float) -> bool:
+    """Return whether the limiter ends an idle connection within a time."""
+    try:
+        async with asyncio.timeout(seconds):
+            await connection.reader.read(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        pass
+    return True
+
+
 async def _wait_for_end(connection: Connection) -> float:
     """Return when the first byte of a response or the close arrives; 0 if neither does in time."""
     try:
--- a/soak/fault_kinds.py
+++ b/soak/fault_kinds.py
@@ -41,6 +41,10 @@
     UPGRADE_ROLLED_BACK = "upgrade_rolled_back"
     UPGRADE_BOTH_TERMINATED = "upgrade_both_terminated"
     UPGRADE_WHILE_STOPPED = "upgrade_while_stopped"
+    RELOAD_SERIES = "reload_series"
+    SIGNALS_IN_SHUTDOWN = "signals_in_shutdown"
+    UPGRADE_ABORTED = "upgrade_aborted"
+    UPGRADE_WITH_SIGNALS = "upgrade_with_signals"
 
     RESTART_WARMING_UP = "restart_warming_up"
     RESTART_WITH_EARLIER_START_TIME = "restart_with_earlier_start_time"
@@ -86,6 +90,12 @@
     FRAGMENTED_REQUESTS = "fragmented_requests"
     INCOMPLETE_REQUESTS = "incomplete_requests"
     LONG_UPLOADS = "long_uploads"
+    RESTING_CLIENTS = "resting_clients"
+    CROWD = "crowd"
+
+
+FIRST_VERSION = 1  # of the scenarios
+LATEST_VERSION = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,12 +105,16 @@
     family: FaultFamily
     target: FaultTarget
     description: str
+    since_version: int = FIRST_VERSION  # the first version of scenarios that contains the kind
 
 
 def _specs(
-    family: FaultFamily, target: FaultTarget, descriptions: dict[FaultKind, str]
+    family: FaultFamily,
+    target: FaultTarget,
+    descriptions: dict[FaultKind, str],
+    since_version: int = FIRST_VERSION,
 ) -> dict[FaultKind, FaultSpec]:
-    return {kind: FaultSpec(family, target, text) for kind, text in descriptions.items()}
+    return {kind: FaultSpec(family, target, text, since_version) for kind, text in descriptions.items()}
 
 
 # Scenarios draw a kind by its position within its family: a changed order changes every scenario.
@@ -198,9 +212,35 @@
             FaultKind.LONG_UPLOADS: "one request in five is a long upload",
         },
     ),
+    **_specs(
+        FaultFamily.PROCESS,
+        FaultTarget.LIMITERS,
+        {
+            FaultKind.RELOAD_SERIES: "several such reloads close together",
+            FaultKind.SIGNALS_IN_SHUTDOWN: "SIGTERM, then SIGHUP, SIGTERM and SIGHUP again; a new process",
+            FaultKind.UPGRADE_ABORTED: "a second process starts, and gets SIGTERM around its readiness",
+            FaultKind.UPGRADE_WITH_SIGNALS: (
+                "an upgrade with SIGHUP to both processes before and after SIGTERM, and a second SIGTERM"
+            ),
+        },
+        since_version=2,
+    ),
+    **_specs(
+        FaultFamily.CLIENT,
+        FaultTarget.LIMITERS,
+        {
+            FaultKind.RESTING_CLIENTS: (
+                "one client in four rests on its connection until the limiter ends it, or sends again later"
+            ),
+            FaultKind.CROWD: "more idle clients connect than the limiter has descriptors for",
+        },
+        since_version=2,
+    ),
 }
 
 
-def kinds_of(family: FaultFamily) -> list[FaultKind]:
-    """Return the kinds of a family in the order in which scenarios draw them."""
-    return [kind for kind, spec in FAULT_SPECS.items() if spec.family is family]
+def kinds_of(family: FaultFamily, version: int) -> list[FaultKind]:
+    """Return the kinds of a family in the order in which scenarios of a version draw them."""
+    return [
+        kind for kind, spec in FAULT_SPECS.items() if spec.family is family and spec.since_version <= version
+    ]
--- a/soak/history.py
+++ b/soak/history.py
@@ -33,6 +33,7 @@
     FRAGMENTED_REQUEST = "fragmented_request"
     INCOMPLETE_REQUEST = "incomplete_request"
     LONG_UPLOAD = "long_upload"
+    RESTING = "resting"
 
 
 class RequestOutcome(StrEnum):
@@ -236,6 +237,7 @@
     code: int
     expected: bool
     log: str
+    was_ready: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/limiter.py
+++ b/soak/limiter.py
@@ -105,6 +105,12 @@
 
     async def start(self) -> LimiterProcess:
         """Start a process and return when it is ready. Raise ``SoakError`` if it does not become ready."""
+        started = await self.spawn()
+        await self._wait_until_ready(started)
+        return started
+
+    async def spawn(self) -> LimiterProcess:
+        """Start a process, which is not ready yet."""
         self._started_processes += 1
         admin_port = free_port()
         log_path = self._directory / f"process-{self._started_processes}.log"
@@ -129,7 +135,6 @@
         watch = asyncio.create_task(self._record_exit(started))
         self._exit_watches.add(watch)
         watch.add_done_callback(self._exit_watches.discard)
-        await self._wait_until_ready(started)
         return started
 
     def _environment(self, admin_port: int) -> dict[str, str]:
@@ -164,7 +169,14 @@
         if started in self._processes:
             self._processes.remove(started)
         self._history.exits.append(
-            ProcessExit(self.index, time.monotonic(), code, started.exit_expected, started.log_text)
+            ProcessExit(
+                self.index,
+                time.monotonic(),
+                code,
+                started.exit_expected,
+                started.log_text,
+                was_ready=bool(started.lifetime.ready_at),
+            )
         )
 
     async def terminate(self, process: LimiterProcess) -> None:
--- a/soak/process_checks.py
+++ b/soak/process_checks.py
@@ -46,7 +46,9 @@
 def find_crashes(history: History) -> Iterator[Violation]:
     """Find processes that exited unexpectedly or with an error code, or logged an internal error."""
     for ended in history.exits:
-        if not ended.expected or ended.code not in EXPECTED_EXIT_CODES:
+        # Before it is ready, a process may not handle SIGTERM yet.
+        is_early = ended.code == -signal.SIGTERM and not ended.was_ready
+        if not ended.expected or (ended.code not in EXPECTED_EXIT_CODES and not is_early):
             text = f"exit code {ended.code}: {ended.log[-LOG_TAIL_CHARACTERS:]}"
             yield Violation(Invariant.CLEAN_EXIT, ended.at, text, limiter=ended.limiter)
         for mark in ERROR_MARKS:
--- a/soak/process_faults.py
+++ b/soak/process_faults.py
@@ -24,6 +24,11 @@
 KILLED_FRACTION = 0.5  # of the fault's duration, during which no process runs
 MAX_STOP_BEFORE_RESTART_SECONDS = 0.15
 MIN_RELOAD_GAP_SECONDS = 0.2
+RELOADS_IN_SERIES = 4
+MAX_RELOAD_SERIES_GAP_SECONDS = 0.2
+MAX_SIGNAL_GAP_SECONDS = 0.7  # the whole shutdown lasts 2.7 s at most
+MIN_PROCESS_SECONDS = 0.2  # before SIGTERM: until then the interpreter starts, which SIGTERM ends
+MAX_ABORTED_START_SECONDS = 0.6
 MAX_UPGRADE_OVERLAP_SECONDS = 0.5
 MAX_TERMINATION_GAP_SECONDS = 0.4
 CONTINUED_SECONDS = 0.2  # from SIGCONT to SIGTERM
@@ -131,6 +136,49 @@
         await self._reload(limiter, fault)
         await first
 
+    async def _reload_series(self, limiter: Limiter, fault: Fault) -> None:
+        reloads = []
+        for _ in range(RELOADS_IN_SERIES):
+            reloads.append(asyncio.create_task(self._reload(limiter, fault)))
+            await asyncio.sleep(MAX_RELOAD_SERIES_GAP_SECONDS * fault.draw)
+        await asyncio.gather(*reloads)
+
+    async def _signal_in_shutdown(self, limiter: Limiter, fault: Fault) -> None:
+        process = limiter.current_process
+        if process is None:
+            return
+        with self._unavailable(limiter):
+            with self._blocked_connects(limiter):
+                termination = asyncio.create_task(limiter.terminate(process))
+                await asyncio.sleep(0)
+                for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                    await asyncio.sleep(MAX_SIGNAL_GAP_SECONDS * fault.draw)
+                    process.send_signal(number)
+                await termination
+            await self._start_process(limiter)
+
+    async def _abort_upgrade(self, limiter: Limiter, fault: Fault) -> None:
+        self._environment.write_config(limiter)
+        new = await limiter.spawn()
+        await asyncio.sleep(MIN_PROCESS_SECONDS + MAX_ABORTED_START_SECONDS * fault.draw)
+        await limiter.terminate(new)
+
+    async def _upgrade_with_signals(self, limiter: Limiter, fault: Fault) -> None:
+        old = limiter.current_process
+        new = await self._start_process(limiter)
+        if old is None:
+            return
+        for process in (old, new):
+            process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(MAX_UPGRADE_OVERLAP_SECONDS * fault.draw)
+        termination = asyncio.create_task(limiter.terminate(old))
+        await asyncio.sleep(0)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            await asyncio.sleep(MAX_SIGNAL_GAP_SECONDS * fault.draw)
+            old.send_signal(number)
+        new.send_signal(signal.SIGHUP)
+        await termination
+
     async def _upgrade(self, limiter: Limiter, fault: Fault) -> None:
         old = limiter.current_process
         await self._start_process(limiter)
@@ -211,5 +259,9 @@
         FaultKind.UPGRADE_ROLLED_BACK: _roll_back_upgrade,
         FaultKind.UPGRADE_BOTH_TERMINATED: _terminate_both_in_upgrade,
         FaultKind.UPGRADE_WHILE_STOPPED: _upgrade_while_stopped,
+        FaultKind.RELOAD_SERIES: _reload_series,
+        FaultKind.SIGNALS_IN_SHUTDOWN: _signal_in_shutdown,
+        FaultKind.UPGRADE_ABORTED: _abort_upgrade,
+        FaultKind.UPGRADE_WITH_SIGNALS: _upgrade_with_signals,
     }
     KINDS: ClassVar[frozenset[FaultKind]] = frozenset(INJECTIONS)
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -5,7 +5,14 @@
 from dataclasses import dataclass
 from random import Random
 
-from soak.fault_kinds import FAULT_SPECS, FaultFamily, FaultKind, FaultTarget, kinds_of
+from soak.fault_kinds import (
+    FAULT_SPECS,
+    FIRST_VERSION,
+    FaultFamily,
+    FaultKind,
+    FaultTarget,
+    kinds_of,
+)
 
 WARM_UP_SECONDS = 2.5
 FAULT_FREE_END_SECONDS = 4.0  # open requests and recoveries complete in this time
@@ -53,12 +60,14 @@
     accept_queue_held: tuple[bool, ...]
     clock_error: float  # seconds by which all wall clocks are off when the limiters start
     faults: tuple[Fault, ...]
+    version: int = FIRST_VERSION  # a later version has more kinds of faults
 
     def describe(self) -> str:
         """Return the printed scenario, one line for each fault."""
         head = (
             f"seed {self.seed}: {self.limiter_count} limiters, {self.endpoint_count} endpoints, "
-            f"{self.seconds:.0f} s, wall clocks {self.clock_error:+.0f} s off at the start"
+            f"{self.seconds:.0f} s, wall clocks {self.clock_error:+.0f} s off at the start, "
+            f"version {self.version}"
         )
         return "\n".join([head, *(fault.describe() for fault in self.faults)])
 
@@ -66,14 +75,15 @@
 class _FaultGenerator:
     """Draws faults for a number of limiters and endpoints."""
 
-    def __init__(self, random: Random, limiters: int, endpoints: int) -> None:
+    def __init__(self, random: Random, limiters: int, endpoints: int, version: int) -> None:
         self._random = random
+        self._version = version
         self._limiters = limiters
         self._endpoints = endpoints
 
     def draw(self, family: FaultFamily, start: float, max_duration: float) -> Fault:
         """Draw a fault of a family. The order of the draws is fixed: a seed keeps its scenario."""
-        kind = self._random.choice(kinds_of(family))
+        kind = self._random.choice(kinds_of(family, self._version))
         limiters: tuple[int, ...] = ()
         endpoints: tuple[int, ...] = ()
         if FAULT_SPECS[kind].target is FaultTarget.LIMITERS:
@@ -95,13 +105,16 @@
         return tuple(sorted(self._random.sample(range(self._endpoints), count)))
 
 
-def make_scenario(seed: int, seconds: float, limiters: int) -> Scenario:
-    """Return the scenario of a seed: groups of two or three overlapping faults of different families."""
-    random = Random(f"soak {seed}")
+def make_scenario(seed: int, seconds: float, limiters: int, version: int = FIRST_VERSION) -> Scenario:
+    """Return the scenario of a seed: groups of two or three overlapping faults of different families.
+
+    A seed keeps its scenario in each version.
+    """
+    random = Random(f"soak {seed}" if version == FIRST_VERSION else f"soak {seed} version {version}")
     endpoints = random.randrange(MIN_ENDPOINTS, MAX_ENDPOINTS + 1)
     accept_queue_held = tuple(random.random() < HELD_ACCEPT_QUEUE_FRACTION for _ in range(limiters))
     clock_error = random.choice(CLOCK_ERRORS_SECONDS)
-    generator = _FaultGenerator(random, limiters, endpoints)
+    generator = _FaultGenerator(random, limiters, endpoints, version)
     faults = list[Fault]()
     group_start = WARM_UP_SECONDS
     faults_end = seconds - FAULT_FREE_END_SECONDS
@@ -113,4 +126,6 @@
                 faults.append(generator.draw(family, start, max_duration))
         group_start += random.uniform(MIN_GROUP_GAP_SECONDS, MAX_GROUP_GAP_SECONDS)
     faults.sort(key=lambda fault: fault.start)
-    return Scenario(seed, seconds, limiters, endpoints, accept_queue_held, clock_error, faults=tuple(faults))
+    return Scenario(
+        seed, seconds, limiters, endpoints, accept_queue_held, clock_error, tuple(faults), version
+    )
--- a/tests/test_soak_scenario.py
+++ b/tests/test_soak_scenario.py
@@ -9,7 +9,7 @@
 from soak.cli import ExitCode, main
 from soak.client_faults import ClientFaults
 from soak.endpoint_faults import EndpointFaults, EndpointNetworkFaults
-from soak.fault_kinds import FAULT_SPECS, FaultFamily, FaultTarget
+from soak.fault_kinds import FAULT_SPECS, LATEST_VERSION, FaultFamily, FaultTarget
 from soak.process_faults import ProcessFaults
 from soak.scenario import FAULT_FREE_END_SECONDS, WARM_UP_SECONDS, make_scenario
 from soak.service_faults import ServiceFaults
@@ -58,6 +58,12 @@
     assert rows == FAULTS_OF_SEED_7
 
 
+def test_an_earlier_version_has_no_later_kinds_of_faults() -> None:
+    for seed in range(60):
+        faults = make_scenario(seed, 30.0, 24).faults
+        assert all(FAULT_SPECS[fault.kind].since_version == 1 for fault in faults)
+
+
 def test_a_scenario_depends_on_its_seed_alone() -> None:
     assert make_scenario(7, 30.0, 24) == make_scenario(7, 30.0, 24)
     assert make_scenario(7, 30.0, 24) != make_scenario(8, 30.0, 24)
@@ -76,7 +82,7 @@
 def test_every_kind_of_fault_is_drawn_and_has_targets() -> None:
     drawn = set[str]()
     for seed in range(120):
-        for fault in make_scenario(seed, 30.0, 24).faults:
+        for fault in make_scenario(seed, 30.0, 24, LATEST_VERSION).faults:
             drawn.add(fault.kind)
             affects_limiters = FAULT_SPECS[fault.kind].target is FaultTarget.LIMITERS
             assert fault.limiters if affects_limiters else fault.endpoints
