Tests: responses and rests of requests that arrive during a stall are read before timers fire

Suspected elsewhere of the fault of: an attempt's timeout, the gap within a response and the timeout of a head pass during a stall, and their timers fire before what arrived meanwhile is read. It is no fault: the event loop polls its sockets between the callback that stood still, or the wait that was stopped, and its timers. Three tests with a stall longer than each of the timeouts pass on this code as it is. What stays: a stall between the reads of one batch of events, whose data came for a socket outside the batch.

--- a/tests/test_stalled_process.py
+++ b/tests/test_stalled_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import time
 from typing import Any
@@ -10,10 +11,13 @@
 import pytest
 
 from quota_gateway import model
+from quota_gateway.net.client.request_reader import HEAD_TIMEOUT_SECONDS
 from quota_gateway.net.client.stall_detector import AFTERMATH_SECONDS
 from quota_gateway.net.common.http_common import MAX_BUFFERED_BODY_BYTES
-from tests.client_helpers import DISCONNECTS, limiter_with_endpoint
+from quota_gateway.net.upstream.response_timer import MAX_RESPONSE_GAP_SECONDS
+from tests.client_helpers import DISCONNECTS, limiter_with_endpoint, wait_for_partial_request
 from tests.loopback import (
+    OK_RESPONSE,
     LoopbackLimiter,
     ScriptedDecisions,
     ScriptedEndpoint,
@@ -28,6 +32,13 @@
 SLACK = 0.1  # seconds: less than the 0.15 that the specification gives
 
 
+def forward_with_short_timeout(event: model.Event) -> list[model.Action]:
+    """Forward each request to ``s1`` for less time than a stall, and reject what fails there."""
+    if isinstance(event, model.Request):
+        return [model.Forward(event.id, "s1", STALL / 2)]
+    return forward_to_s1(event)
+
+
 async def hang(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
     """Read requests and respond to none."""
     while await reader.read(65536):
@@ -133,6 +144,54 @@
         writer.close()
 
 
+async def respond_before_a_stall(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Respond at once, as an endpoint of its own process, and let this process stand still then."""
+    await read_message(reader)
+    os.write(writer.get_extra_info("socket").fileno(), OK_RESPONSE)
+    time.sleep(STALL)
+    await reader.read()
+
+
+@async_test
+async def test_a_response_that_arrived_during_a_stall_answers_its_request() -> None:
+    """The attempt's timeout has passed when the process goes on, and its response is unread."""
+    script = ScriptedDecisions(forward_with_short_timeout)
+    async with limiter_with_endpoint(respond_before_a_stall, script) as limiter:
+        assert " 200 " in (await limiter.fetch(http_request(timeout_ms=5000)))[0]
+
+
+async def respond_in_two_parts(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send the rest of a response while this process stands still behind its first part."""
+    await read_message(reader)
+    descriptor = writer.get_extra_info("socket").fileno()
+    os.write(descriptor, OK_RESPONSE[:-1])
+    await asyncio.sleep(0.1)
+    os.write(descriptor, OK_RESPONSE[-1:])
+    time.sleep(MAX_RESPONSE_GAP_SECONDS)
+    await reader.read()
+
+
+@async_test
+async def test_a_response_whose_rest_arrived_during_a_stall_answers_its_request() -> None:
+    async with limiter_with_endpoint(respond_in_two_parts) as limiter:
+        assert " 200 " in (await limiter.fetch(http_request(timeout_ms=5000)))[0]
+
+
+@async_test
+async def test_a_request_whose_rest_arrived_during_a_stall_is_read() -> None:
+    endpoint = ScriptedEndpoint()
+    request = http_request(timeout_ms=10_000)
+    async with limiter_with_endpoint(endpoint.handle_connection) as limiter:
+        client = socket.create_connection(limiter.address)
+        client.sendall(request[:-1])
+        await wait_for_partial_request(limiter)
+        client.sendall(request[-1:])
+        time.sleep(HEAD_TIMEOUT_SECONDS + SLACK)
+        reader, writer = await asyncio.open_connection(sock=client)
+        assert " 200 " in (await read_message(reader))[0]
+        writer.close()
+
+
 @async_test
 async def test_a_request_that_waited_during_a_stall_between_wake_up_and_read_has_less_time() -> None:
     """The event loop has read its clock before the stall, and reads the request with that time after it."""
