Answer 400 to a malformed request behind one that offers an upgrade

What callers saw: 500 for a request with a repeated header that arrives in one read behind a request with an upgrade offer. Cause: RequestReader.feed parsed the rest of the input within the handler of HttpParserUpgrade; Python then makes that the context of the parser's error, where the status is looked for. An internal error was logged too. Change: the rest is parsed behind the handler.

--- a/quota_gateway/net/client/request_reader.py
+++ b/quota_gateway/net/client/request_reader.py
@@ -132,13 +132,18 @@
         except httptools.HttpParserUpgrade as upgrade:
             # The offered upgrade is ignored (RFC 9110, 7.8): the rest of the input is HTTP/1.1.
             self._parser = httptools.HttpRequestParser(self)
-            self._receiver.receive(data[upgrade.args[0] :])
-            return
+            rest = data[upgrade.args[0] :]
         except httptools.HttpParserError as error:
             self._reject(error)
             return
+        else:
+            self._check_head_size(len(data))
+            return
+        self._receiver.receive(rest)  # not while the upgrade is handled: it would hide the cause of an error
+
+    def _check_head_size(self, received_size: int) -> None:
         # An endless header line grows within the parser, where no callback shows its size.
-        if self.phase is _HEAD and not self.head.add_unparsed_input(len(data)):
+        if self.phase is _HEAD and not self.head.add_unparsed_input(received_size):
             self._receiver.reject(400)
 
     def _reject(self, error: httptools.HttpParserError) -> None:
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -68,6 +68,16 @@
         assert ["429" in (await read_message(reader))[0] for _ in range(2)] == [True, True]
 
 
+@async_test
+async def test_malformed_request_behind_an_upgrade_offer_is_rejected_for_its_own_fault() -> None:
+    repeated_header = http_request().replace(b"Host: origin.svc\r\n", b"Host: a\r\nX-Plan: basic\r\n", 1)
+    async with LoopbackLimiter(ScriptedDecisions(reject), {}) as limiter:
+        reader, writer = await limiter.connect()
+        writer.write(http_request(Connection="upgrade", Upgrade="h2c") + repeated_header)
+        assert "429" in (await read_message(reader))[0]
+        assert "400" in (await read_message(reader))[0]
+
+
 @async_test
 async def test_chunked_body_over_the_limit_is_rejected() -> None:
     async with LoopbackLimiter(ScriptedDecisions(reject), {}) as limiter:
