Count a request that has no time left under its own reason

What operators saw: in the log line 'rejected' a request that arrives without time counts under the reason for which the request before it was rejected. Cause: Forwarder._attempt picks no endpoint without time, and forward then reads the balancer's reason of the last pick. Change: such a request counts under 'attempts', which README describes as the passed deadline. Only the counts of the log line change.

--- a/quota_gateway/decisions/forwarding.py
+++ b/quota_gateway/decisions/forwarding.py
@@ -46,7 +46,10 @@
             self.finish(request, model.RejectionReason.QUOTA)
             return False
         if not self._attempt(now, request):
-            self.finish(request, self.balancer.rejection_reason)
+            has_time = request.useful_until > now
+            self.finish(
+                request, self.balancer.rejection_reason if has_time else model.RejectionReason.ATTEMPTS
+            )
             return False
         self.gate.take(request)
         self.gate.controller.record_admission()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -36,6 +36,16 @@
     assert [attempt.timeout for attempt in attempts] == [useful_time]
 
 
+def test_request_without_time_is_not_counted_under_the_reason_of_an_earlier_one() -> None:
+    simulation = start_simulation()
+    forwarder = simulation.gateway.forwarder
+    simulation.feed(model.EndpointUpdate((), complete=True))
+    simulation.feed(make_request(1))
+    assert forwarder.take_rejections() == {model.RejectionReason.NO_ENDPOINT: 1}
+    simulation.feed(make_request(2, timeout=0.0))
+    assert forwarder.take_rejections() == {model.RejectionReason.ATTEMPTS: 1}
+
+
 def test_endpoint_is_used_again_after_the_client_of_its_only_request_has_disconnected() -> None:
     simulation = start_simulation("a", "b", "c", "d", "e", "f")
     attempts = forwards(simulation.feed(make_request(1)))
