Look at client and endpoint again if the process stood still between the look and the write

Cause: the poll, or its being skipped for a client seen within 0.05 s, was not related to the time of the write. Change: the pool reads its clock before and behind the checks; if these lie over 0.05 s apart, it checks again. Cases, checks and bounds stay. Soak: a crowd affects three limiters at most.

--- a/quota_gateway/net/upstream/pool.py
+++ b/quota_gateway/net/upstream/pool.py
@@ -20,6 +20,8 @@
 log = logging.getLogger(__name__)
 
 MAX_PROPAGATED_TIMEOUT_SECONDS = 3600.0  # sent to an endpoint where no deadline limits the exchange
+MAX_CHECK_AGE_SECONDS = 0.05  # of the checks before a write; a longer time is a stall of this process
+MAX_CHECKS = 5  # before a write, with a stall behind each of them
 SCAN_INTERVAL_SECONDS = 1.0  # between two scans for idle connections and stalled bodies
 SCANS_PER_LOG_LINE = 10
 
@@ -158,18 +160,33 @@
         if violated is not None:
             self._reject(violated, connection, exchange)
             return
-        # Polling the client may withdraw this exchange.
-        may_send = self._connections.is_usable(connection) and not exchange.has_lost_client()
-        now = self._clock()  # directly before the write: a stall of the process up to here is detected
-        remaining = exchange.expires_at - now
-        if not may_send or remaining <= 0 or now > exchange.not_after:
+        now = self._check_before_write(connection, exchange)
+        if now is None:
             self._connections.release(connection, reusable=True)
             self.exchanges.complete(exchange, CallStatus.NOT_SENT)
             return
-        timeout = min(remaining, exchange.timeout, MAX_PROPAGATED_TIMEOUT_SECONDS)
+        timeout = min(exchange.expires_at - now, exchange.timeout, MAX_PROPAGATED_TIMEOUT_SECONDS)
         timeout_header = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(timeout * 1000))
         connection.send(exchange, exchange.request_head + timeout_header + exchange.request_body)
 
+    def _check_before_write(self, connection: UpstreamConnection, exchange: Exchange) -> float | None:
+        """Return the time of the write; None if the request must not be sent any more.
+
+        The clock is read last. If it shows that the process stood still behind the checks, these are
+        repeated: the client may have left meanwhile.
+        """
+        for _ in range(MAX_CHECKS):
+            checked_at = self._clock()
+            # Polling the client may withdraw this exchange.
+            if not self._connections.is_usable(connection) or exchange.has_lost_client():
+                return None
+            now = self._clock()
+            if exchange.expires_at <= now or now > exchange.not_after:
+                return None
+            if now - checked_at <= MAX_CHECK_AGE_SECONDS:
+                return now
+        return None
+
     def _reject(self, violated: Invariant, connection: UpstreamConnection, exchange: Exchange) -> None:
         """Do not send an exchange that would break an invariant."""
         report_send_violation(self._invariants, violated, connection, exchange)
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -7,12 +7,16 @@
 from soak.client_faults import ClientFaults
 from soak.endpoint_faults import EndpointFaults, EndpointNetworkFaults
 from soak.environment import Environment
+from soak.fault_kinds import FaultKind
 from soak.limiter import Limiter
 from soak.process_faults import ProcessFaults
 from soak.scenario import Fault
 from soak.service_faults import ServiceFaults
 from soak.system_faults import SystemFaults
 
+# More crowds at once would hold up the soak test's own process, in which the endpoints run.
+MAX_CROWDED_LIMITERS = 3
+
 
 class FaultInjector:
     """Injects faults into an environment."""
@@ -33,7 +37,10 @@
         self._history.record_event(f"{fault.kind}: limiters {fault.limiters}, endpoints {fault.endpoints}")
         endpoints = [self._environment.endpoints[index] for index in fault.endpoints]
         if fault.kind in ClientFaults.KINDS:
-            clients = [self._environment.clients[index] for index in fault.limiters]
+            limiters_of_kind = fault.limiters
+            if fault.kind is FaultKind.CROWD:
+                limiters_of_kind = fault.limiters[:MAX_CROWDED_LIMITERS]
+            clients = [self._environment.clients[index] for index in limiters_of_kind]
             await asyncio.gather(*(self._clients.inject(each, fault) for each in clients))
         elif fault.kind in EndpointFaults.KINDS:
             await asyncio.gather(*(self._endpoints.inject(each, fault) for each in endpoints))
