--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -31,9 +31,9 @@
 ARCHITECTURE = ROOT / "docs" / "ARCHITECTURE.md"
 PROMISES = ROOT / "docs" / "PROMISES.md"
 KNOWN_ISSUES = ROOT / "docs" / "KNOWN-ISSUES.md"
-INCIDENT = ROOT / "docs" / "incidents" / "2026-12-bug-hunt.md"
+INCIDENTS = tuple(sorted((ROOT / "docs" / "incidents").glob("*.md")))
 PAGES = (README, *sorted((ROOT / "docs").rglob("*.md")))
-PAGES_NAMING_CODE = (ARCHITECTURE, PROMISES, KNOWN_ISSUES, INCIDENT)
+PAGES_NAMING_CODE = (ARCHITECTURE, PROMISES, KNOWN_ISSUES, *INCIDENTS)
 CODE_FOLDERS = ("quota_gateway", "soak", "scale", "tests")
 PATH_PATTERN = re.compile(r"`((?:quota_gateway|scale|soak|tests|docs|deploy|journal|\.ci)/[^`\s]*)`")
 # Names of at least two words: one word alone may be an ordinary one or a value.
