Soak: exchanges and longer behaviours of clients in modules of their own; one reader of bodies

Change: ClientExchanges sends a request and waits for its response, ClientBehaviours has what is more than one exchange, and LimiterClients draws and counts. soak/http_bodies.py reads bodies for both, with the strict ends of chunks of the tests. A pipelining client that gives up on a response has disconnected; it sent the rest again, although it had closed the connection itself (test).

--- /dev/null
+++ b/soak/client_behaviours.py
@@ -0,0 +1,198 @@
+"""Faulty behaviours of clients that are more than one exchange: pipelining, resting, stopping, crowds."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from random import Random
+
+from soak.client_connection import Connection, ConnectionPool, IncompleteResponseError
+from soak.client_exchanges import ClientExchanges
+from soak.history import (
+    TRUNCATED_RESPONSE_STATUS,
+    ClientBehaviour,
+    ClientRequest,
+    History,
+    IncompleteRequest,
+    RequestOutcome,
+)
+from soak.request_factory import RequestFactory
+from soak.streams import write_open
+
+INCOMPLETE_REQUEST_PATIENCE_SECONDS = 8.0
+INCOMPLETE_HEAD_BYTES = 60
+PIPELINED_REQUESTS = 3
+MIN_REST_SECONDS = 0.2
+MAX_REST_SECONDS = 4.0  # a limiter may end an idle connection after 2 s
+MAX_CROWD_GAP_SECONDS = 0.3  # between two connections of one client of a crowd
+LONGER_THAN_ANY_RUN_SECONDS = 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class _StoppingPoint:
+    """The point of a request at which a client stops; without body bytes it is within the head."""
+
+    name: str
+    body_size: int
+    sent_body_bytes: int
+
+
+STOPPING_POINTS = (
+    _StoppingPoint("head", 200, 0),
+    _StoppingPoint("body", 200, 50),
+    _StoppingPoint("body after a fast start", 65_000, 60_000),
+    _StoppingPoint("upload", 2_000_000, 1_000_000),
+)
+
+
+class ClientBehaviours:
+    """These behaviours of the clients of one limiter."""
+
+    def __init__(
+        self,
+        connections: ConnectionPool,
+        exchanges: ClientExchanges,
+        factory: RequestFactory,
+        history: History,
+        random: Random,
+    ) -> None:
+        """Send requests of ``factory``, and record incomplete ones in ``history``."""
+        self._connections = connections
+        self._exchanges = exchanges
+        self._factory = factory
+        self._history = history
+        self._random = random
+
+    async def send_pipelined_requests(self) -> None:
+        """Send several requests at once on one connection; the responses arrive in the same order."""
+        requests = [self._factory.make(ClientBehaviour.PIPELINING) for _ in range(PIPELINED_REQUESTS)]
+        try:
+            connection = await self._connections.connect()
+        except OSError:
+            for request in requests:
+                request.end(RequestOutcome.CONNECTION_REFUSED)
+            return
+        try:
+            for request in requests:
+                request.begin_exchange(connection.local_port, on_new_connection=request is requests[0])
+                await self._exchanges.write(request, connection.writer)
+                request.mark_sent()
+            for request in requests:
+                if await self._exchanges.wait_for_response(request, connection) is None:
+                    _disconnect(requests)
+                    break
+        except IncompleteResponseError as error:
+            if error.has_head:
+                _first_open(requests).receive_response(TRUNCATED_RESPONSE_STATUS)
+        except OSError:
+            pass
+        connection.abort()
+        await self._end_pipelined(requests)
+
+    async def _end_pipelined(self, requests: list[ClientRequest]) -> None:
+        """End the requests whose connection has ended.
+
+        The close of the limiter may have crossed all but the first one: these are sent again.
+        """
+        for request in requests:
+            if request.outcome is not RequestOutcome.OPEN:
+                continue
+            if request.on_new_connection or not request.sent_at:
+                request.end(RequestOutcome.CONNECTION_CLOSED)
+            else:
+                await self._exchanges.resend(request)
+
+    async def rest_between_requests(self) -> None:
+        """Send a request, rest until the limiter ends the connection or a while, and send another one.
+
+        The second one may cross the limiter's end of the connection, and is sent again then.
+        """
+        first = self._factory.make(ClientBehaviour.RESTING)
+        try:
+            connection = await self._connections.connect()
+        except OSError:
+            first.end(RequestOutcome.CONNECTION_REFUSED)
+            return
+        first.begin_exchange(connection.local_port, on_new_connection=True)
+        response = await self._exchanges.run_once(first, connection)
+        if response is None or not response.keeps_connection:
+            connection.abort()
+            return
+        connection.mark_reused()
+        if await _ends_within(connection, self._random.uniform(MIN_REST_SECONDS, MAX_REST_SECONDS)):
+            connection.abort()
+            return
+        second = self._factory.make(ClientBehaviour.RESTING)
+        await self._exchanges.run(second, connection)
+        if second.outcome is RequestOutcome.CONNECTION_CLOSED:
+            await self._exchanges.resend(second)
+
+    async def send_incomplete_request(self) -> None:
+        """Stop within a request, stay connected, and record when the limiter ends the exchange."""
+        point = self._random.choice(STOPPING_POINTS)
+        request = self._factory.make_incomplete(point.body_size)
+        head = self._factory.format_head(request)
+        sent = head + b"x" * point.sent_body_bytes if point.sent_body_bytes else head[:INCOMPLETE_HEAD_BYTES]
+        try:
+            connection = await self._connections.connect()
+            write_open(connection.writer, sent)
+            await connection.writer.drain()
+        except OSError:
+            request.end(RequestOutcome.CONNECTION_REFUSED)
+            return
+        stopped_at = time.monotonic()
+        ended_at = await _wait_for_end(connection)
+        request.end(RequestOutcome.NOT_COMPLETED)
+        self._history.incomplete_requests.append(
+            IncompleteRequest(request.limiter, point.name, stopped_at, ended_at)
+        )
+        connection.abort()
+
+    async def hold_idle_connections(self) -> None:
+        """Hold an idle connection open until cancelled; one that the limiter closes is replaced."""
+        while True:
+            await asyncio.sleep(self._random.uniform(0.0, MAX_CROWD_GAP_SECONDS))
+            try:
+                connection = await self._connections.connect()
+            except OSError:
+                continue
+            try:
+                await _ends_within(connection, LONGER_THAN_ANY_RUN_SECONDS)
+            finally:
+                connection.abort()
+
+
+def _first_open(requests: list[ClientRequest]) -> ClientRequest:
+    return next(request for request in requests if request.outcome is RequestOutcome.OPEN)
+
+
+def _disconnect(requests: list[ClientRequest]) -> None:
+    """End the requests of a client that gives up and closes its connection."""
+    for request in requests:
+        if request.outcome is RequestOutcome.OPEN:
+            request.end(RequestOutcome.DISCONNECTED)
+
+
+async def _ends_within(connection: Connection, seconds: float) -> bool:
+    """Return whether the limiter ends an idle connection within a time."""
+    try:
+        async with asyncio.timeout(seconds):
+            await connection.reader.read(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        pass
+    return True
+
+
+async def _wait_for_end(connection: Connection) -> float:
+    """Return when the first byte of a response or the close arrives; 0 if neither does in time."""
+    try:
+        async with asyncio.timeout(INCOMPLETE_REQUEST_PATIENCE_SECONDS):
+            await connection.reader.read(1)
+    except TimeoutError:
+        return 0.0
+    except OSError:
+        pass
+    return time.monotonic()
--- a/soak/client_connection.py
+++ b/soak/client_connection.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from soak.http_bodies import read_body
 from soak.proxy import LOOPBACK
 
 HTTP_STATUS_SLICE = slice(9, 12)  # in a status line
@@ -73,26 +74,13 @@
         has_head = True
         lines = (line.partition(":") for line in head.split("\r\n")[1:])
         headers = {name: value.strip() for name, _, value in lines}
-        body = await _read_body(reader, headers)
+        body = await read_body(reader, headers)
     except (asyncio.IncompleteReadError, OSError, ValueError):
         raise IncompleteResponseError(has_head=has_head) from None
     has_length = "content-length" in headers or "transfer-encoding" in headers
     return Response(status, body, keeps_connection=has_length and headers.get("connection") != "close")
 
 
-async def _read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
-    if "content-length" in headers:
-        return await reader.readexactly(int(headers["content-length"]))
-    if headers.get("transfer-encoding") != "chunked":
-        return await reader.read()
-    chunks = []
-    while size := int((await reader.readline()).partition(b";")[0], 16):
-        chunks.append(await reader.readexactly(size))
-        await reader.readline()
-    await reader.readline()
-    return b"".join(chunks)
-
-
 class ConnectionPool:
     """The idle connections of the clients of one limiter."""
 
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -104,7 +104,7 @@
             limiter.index, self._scenario.limiter_count, self.history, random, request_ids
         )
         connections = ConnectionPool(limiter.port)
-        return LimiterClients(limiter.index, connections, factory, self.history, random)
+        return LimiterClients(connections, factory, self.history, random)
 
     def publish(self, endpoint: SoakEndpoint) -> None:
         """Update discovery's endpoint list with the present state of an endpoint."""
--- a/tests/http_bodies.py
+++ b/tests/http_bodies.py
@@ -1,4 +1,4 @@
-"""Helpers for tests with long bodies: writing and reading them in all framings."""
+"""Helpers for tests with long bodies: writing them in all framings."""
 
 from __future__ import annotations
 
@@ -10,20 +10,6 @@
 POST_PATH = "/post?account=00000000b4d65521"
 
 
-async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
-    """Return a body in the framing that the headers announce; it must have no trailers."""
-    if "content-length" in headers:
-        return await reader.readexactly(int(headers["content-length"]))
-    if headers.get("transfer-encoding") != "chunked":
-        return await reader.read()
-    chunks = []
-    while size := int((await reader.readline()).partition(b";")[0], 16):
-        chunks.append(await reader.readexactly(size))
-        assert await reader.readline() == b"\r\n"
-    assert await reader.readline() == b"\r\n"
-    return b"".join(chunks)
-
-
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
     """Return the first line of a message, and its headers with names in lower case."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -11,6 +11,7 @@
 import pytest
 
 from quota_gateway import model
+from soak.http_bodies import read_body
 from tests.client_helpers import (
     DISCONNECTS,
     LATE_SECONDS,
@@ -21,7 +22,7 @@
     take_no_action,
     wait_for_connections,
 )
-from tests.http_bodies import LONG_BODY, chunked, read_body, read_head, upload, upload_head
+from tests.http_bodies import LONG_BODY, chunked, read_head, upload, upload_head
 from tests.loopback import (
     OK_RESPONSE,
     LoopbackLimiter,
--- a/tests/test_http_framing.py
+++ b/tests/test_http_framing.py
@@ -7,8 +7,9 @@
 import pytest
 
 from quota_gateway.net.common.http_common import MAX_BUFFERED_BODY_BYTES
+from soak.http_bodies import read_body
 from tests.client_helpers import limiter_with_endpoint
-from tests.http_bodies import LONG_BODY, POST_PATH, chunked, read_body, read_head
+from tests.http_bodies import LONG_BODY, POST_PATH, chunked, read_head
 from tests.loopback import (
     OK_RESPONSE,
     async_test,
--- a/tests/test_soak_clients.py
+++ b/tests/test_soak_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from itertools import count
 from pathlib import Path
 from random import Random
@@ -40,12 +41,20 @@
 def make_clients(address: str, history: History) -> LimiterClients:
     port = int(address.rpartition(":")[2])
     factory = RequestFactory(0, 1, history, Random(1), count(1))
-    clients = LimiterClients(0, ConnectionPool(port), factory, history, Random(2))
+    clients = LimiterClients(ConnectionPool(port), factory, history, Random(2))
     clients.scale_rate(10.0)
     clients.start_behaviour(ClientBehaviour.PIPELINING, 0.5)
     return clients
 
 
+async def respond_once(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Answer the first request of each connection, and no other one."""
+    await read_message(reader)
+    writer.write(OK_RESPONSE)
+    await reader.read()
+    await asyncio.sleep(RUN_SECONDS)
+
+
 async def send_traffic(clients: LimiterClients) -> None:
     traffic = asyncio.create_task(clients.run())
     await asyncio.sleep(RUN_SECONDS)
@@ -76,6 +85,19 @@
     assert all(request.outcome is RequestOutcome.RESPONSE_RECEIVED for request in pipelined)
 
 
+@async_test
+async def test_a_pipelining_client_that_gives_up_sends_nothing_again() -> None:
+    """It has closed its connection itself: what it had sent may have been executed."""
+    history = History()
+    async with running_server(respond_once) as address:
+        clients = make_clients(address, history)
+        clients.start_behaviour(ClientBehaviour.PIPELINING, 1.0)
+        await send_traffic(clients)
+    outcomes = Counter(request.outcome for request in history.requests.values())
+    assert outcomes[RequestOutcome.TIMED_OUT] == outcomes[RequestOutcome.DISCONNECTED] > 0
+    assert not any(request.resent for request in history.requests.values())
+
+
 @async_test
 async def test_an_unexpected_error_of_a_client_is_recorded(monkeypatch: pytest.MonkeyPatch) -> None:
     history = History()
