Time a shutdown from a stall only if its signal may have been sent in it

What callers saw: 504 at once, in place of up to 2.35 s to be answered, from a process that gets SIGTERM in the second after a stop; a client that connected just then was closed without a response. Cause: StallDetector.signal_sent_after took the beginning of the stall for a whole second behind it, as for unread input. A signal that was sent during the stall is handled at once when the process runs again. Change: the beginning of the stall counts only for a signal that is handled within a heartbeat of its end.

--- a/quota_gateway/net/client/stall_detector.py
+++ b/quota_gateway/net/client/stall_detector.py
@@ -51,8 +51,11 @@
         return self._stall_began if self.is_after_stall(now) else self._previous_mark
 
     def signal_sent_after(self, now: float) -> float:
-        """Return the earliest time at which a signal that is handled at ``now`` may have been sent."""
-        if self._has_stalled and self.is_after_stall(now):
+        """Return the earliest time at which a signal that is handled at ``now`` may have been sent.
+
+        One that was sent during a stall is handled as soon as the process runs again.
+        """
+        if self._has_stalled and now - self._stall_ended < HEARTBEAT_INTERVAL_SECONDS:
             return max(self._created_at, self._stall_began)
         return now
 
--- a/quota_gateway/net/dispatch/request_table.py
+++ b/quota_gateway/net/dispatch/request_table.py
@@ -25,7 +25,7 @@
 MAX_RESPONSE_MARGIN_FRACTION = 0.1  # of the timeout
 # Without a response of the decisions, the request fails this fraction of the margin before the timeout.
 UNANSWERED_MARGIN_FRACTION = 0.5
-MIN_TIMEOUT_SECONDS = 0.001  # the least remaining time that the decisions are told
+MIN_TIMEOUT_SECONDS = 0.001  # the least remaining time in an event for the decisions
 SHUTDOWN_RETRY_AFTER_SECONDS = 0.1  # Retry-After of requests that are rejected at the end of the process
 STATUS_OK = 200
 STATUS_REJECTED = 429
--- a/quota_gateway/net/upstream/pool.py
+++ b/quota_gateway/net/upstream/pool.py
@@ -172,8 +172,8 @@
     def _check_before_write(self, connection: UpstreamConnection, exchange: Exchange) -> float | None:
         """Return the time of the write; None if the request must not be sent any more.
 
-        The clock is read last. If it shows that the process stood still behind the checks, these are
-        repeated: the client may have left meanwhile.
+        The clock is read last. If it shows a stall of the process behind the checks, these are
+        repeated: the client may have disconnected meanwhile.
         """
         for _ in range(MAX_CHECKS):
             checked_at = self._clock()
--- a/soak/clients.py
+++ b/soak/clients.py
@@ -127,9 +127,8 @@
             return
         await self._exchanges.run(request, connection)
         if request.outcome is RequestOutcome.CONNECTION_CLOSED and not request.on_new_connection:
-            await self._exchanges.resend(
-                request
-            )  # the limiter may have closed the idle connection before the request
+            # The limiter may have closed the idle connection before the request.
+            await self._exchanges.resend(request)
         is_rejected = request.status in RETRYABLE_STATUSES
         if behaviour is ClientBehaviour.IMMEDIATE_RETRIES and retries and is_rejected:
             await asyncio.sleep(self._random.uniform(MIN_RETRY_DELAY_SECONDS, MAX_RETRY_DELAY_SECONDS))
--- a/soak/excuses.py
+++ b/soak/excuses.py
@@ -14,7 +14,7 @@
     RESENT_AFTER_KILL = "sent again by its client after a kill"
     READ_FAILED = "a read of its connection failed"
     PROCESS_STOPPED = "its process was stopped"
-    LEFT_AT_DOOR = "no process accepted from the held accept queue"
+    LEFT_AT_DOOR = "no process served the accept queue"
     NO_PROCESS = "refused while no process had to accept"
     NETWORK_FAULT = "a network fault delayed the attempt"
     LATE_NOTIFICATION = "the limiter may not have been notified yet"
--- a/soak/process_lifetime.py
+++ b/soak/process_lifetime.py
@@ -1,4 +1,4 @@
-"""When the processes of a limiter were ready, told to end, killed and gone."""
+"""The lifetimes of a limiter's processes: readiness, signals and exit."""
 
 from __future__ import annotations
 
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -30,7 +30,7 @@
 from soak.violations import Invariant, Violation
 
 RESPONSE_GRACE_SECONDS = 0.5  # after the client's timeout
-KILL_GRACE_SECONDS = 0.7  # after SIGTERM; what arrives up to then is owed its answer before SIGKILL
+KILL_GRACE_SECONDS = 0.7  # after SIGTERM; what arrives up to then must be answered before SIGKILL
 LONG_RESPONSE_BYTES = 64 * 1024
 DISCONNECT_GRACE_SECONDS = 0.1
 DEADLINE_TOLERANCE_SECONDS = 0.15
@@ -82,7 +82,7 @@
 
 
 def _seconds_at_door(history: History, request: ClientRequest) -> float:
-    """Return the time in which a new connection waited in a held queue from which no process accepted."""
+    """Return the time in which a new connection waited in an accept queue that no process served."""
     if not request.on_new_connection or request.limiter not in history.held_accept_queues:
         return 0.0
     processes = history.processes_of(request.limiter)
@@ -296,7 +296,7 @@
 
 
 def _was_left_at_door(history: History, incomplete: IncompleteRequest, excess: float) -> bool:
-    """Whether the connection waited for so long in a held queue from which no process accepted."""
+    """Whether the connection waited for so long in an accept queue that no process served."""
     if incomplete.limiter not in history.held_accept_queues:
         return False
     end = incomplete.ended_at or incomplete.stopped_at + INCOMPLETE_REQUEST_TIMEOUT_SECONDS
--- a/soak/scenario_runner.py
+++ b/soak/scenario_runner.py
@@ -49,7 +49,7 @@
         self._history.record_runner_error(context["message"], context.get("exception"))
 
     def _record_open_requests(self) -> None:
-        gc.collect()  # reports the tasks whose exception nobody has retrieved
+        gc.collect()  # reports the tasks whose exception was never retrieved
         for request in self._history.open_requests():
             self._history.record_runner_error(
                 f"request {request.id}, {request.behaviour}, has not ended", None
--- a/tests/test_process_stalls.py
+++ b/tests/test_process_stalls.py
@@ -18,6 +18,7 @@
 from tests.gateway_process import ProcessFaults, Program, config, started
 from tests.loopback import (
     OK_RESPONSE,
+    ConnectionHandler,
     ScriptedEndpoint,
     async_test,
     http_request,
@@ -51,12 +52,15 @@
 
 @asynccontextmanager
 async def limiter_to_stall(
-    faults: ProcessFaults, folder: Path, endpoint: ScriptedEndpoint | None = None
+    faults: ProcessFaults,
+    folder: Path,
+    endpoint: ScriptedEndpoint | None = None,
+    serve: ConnectionHandler | None = None,
 ) -> AsyncIterator[StalledLimiter]:
-    """Run a limiter until its start counts as a stall no longer."""
+    """Run a limiter until its start counts as a stall no longer; ``serve`` replaces the scripted endpoint."""
     scripted = endpoint or ScriptedEndpoint()
     async with (
-        running_server(scripted.handle_connection) as address,
+        running_server(serve or scripted.handle_connection) as address,
         started(config(address), folder, environment=faults.environment) as program,
     ):
         await asyncio.sleep(AFTERMATH_SECONDS + DEADLINE_SLACK)
@@ -257,3 +261,29 @@
         await read_message(reader)
         await process.wait()
         assert time.monotonic() - terminated_at <= MAX_DEADLINE_SECONDS + KILL_GRACE_SECONDS
+
+
+async def respond_late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Respond to one request after a second."""
+    await read_message(reader)
+    await asyncio.sleep(1.0)
+    writer.write(OK_RESPONSE)
+    await reader.read()
+
+
+@async_test
+async def test_a_shutdown_soon_after_a_stall_answers_the_requests_in_flight(
+    faults: ProcessFaults, tmp_path: Path
+) -> None:
+    """The signal was not sent during the stall: it would have been handled before."""
+    async with limiter_to_stall(faults, tmp_path, serve=respond_late) as limiter:
+        process = limiter.program.process
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(MAX_DEADLINE_SECONDS + KILL_GRACE_SECONDS)
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(0.3)
+        reader, writer = await limiter.program.connect()
+        writer.write(http_request(timeout_ms=3000))
+        await asyncio.sleep(0.1)
+        process.terminate()
+        assert " 200 " in (await read_message(reader))[0]
--- a/tests/test_stall_detector.py
+++ b/tests/test_stall_detector.py
@@ -50,6 +50,8 @@
         stalls.mark(100.0 + 0.1 * step)
     stalls.mark(105.0)
     assert stalls.signal_sent_after(105.01) == 102.0
+    stalls.mark(105.1)
+    assert stalls.signal_sent_after(105.11) == 105.11  # one sent during the stall was handled before
     for step in range(1, 21):
         stalls.mark(105.0 + 0.1 * step)
     assert stalls.signal_sent_after(107.0) == 107.0
