Soak: a client that gave up while the soak test itself stood still is no evidence

Change: such a request is excused, and counted, if the recorded delay of the runner covers the whole time after its due time. Tests: a delay that is too short excuses nothing.

--- a/soak/excuses.py
+++ b/soak/excuses.py
@@ -15,6 +15,7 @@
     READ_FAILED = "a read of its connection failed"
     PROCESS_STOPPED = "its process was stopped"
     LEFT_AT_DOOR = "no process served the accept queue"
+    RUNNER_LATE = "the soak test itself was late"
     NO_PROCESS = "refused while no process had to accept"
     NETWORK_FAULT = "a network fault delayed the attempt"
     LATE_NOTIFICATION = "the limiter may not have been notified yet"
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -109,7 +109,11 @@
         if request.ended_at - stopped < due_at:
             return history.excuse(Excuse.PROCESS_STOPPED)
         at_door = _seconds_at_door(history, request)
-        return history.excuse(Excuse.LEFT_AT_DOOR, applies=request.ended_at - stopped - at_door < due_at)
+        if request.ended_at - stopped - at_door < due_at:
+            return history.excuse(Excuse.LEFT_AT_DOOR)
+        # The client gave up at a moment at which it could not have read the response.
+        runner_delay = history.runner_delay_around(request.ended_at)
+        return history.excuse(Excuse.RUNNER_LATE, applies=request.ended_at - runner_delay < due_at)
     if request.client_port in history.failed_reads.get(request.limiter, ()):
         return history.excuse(Excuse.READ_FAILED)
     killed = _process_killed_around(history, request.limiter, request.ended_at)
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -24,6 +24,7 @@
     NetworkFault,
     ProcessExit,
     RequestOutcome,
+    RunnerDelay,
     Span,
     Suspension,
 )
@@ -126,6 +127,14 @@
     assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
 
 
+def test_a_client_that_gave_up_while_the_soak_test_was_late_is_no_evidence() -> None:
+    history = make_history(replace(REQUEST, outcome=RequestOutcome.TIMED_OUT, ended_at=13.0))
+    history.runner_delays.append(RunnerDelay(13.0, 1.4))  # the response was due at 11.5
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.runner_delays.append(RunnerDelay(13.0, 1.6))
+    assert violated_invariants(history) == []
+
+
 @pytest.mark.parametrize("is_resent", [False, True])
 def test_a_refused_connection_is_found_while_a_process_has_to_accept(is_resent: bool) -> None:
     refused = replace(REQUEST, outcome=RequestOutcome.CONNECTION_REFUSED, resent=is_resent, status=0)
