Tests of half-closed clients share their set-up

Two tests of clients whose input ends around a stall had the same twenty lines; they differ in the moment of the stall, which is a parameter now. Checks and times stay.

--- a/tests/test_client_liveness.py
+++ b/tests/test_client_liveness.py
@@ -211,11 +211,10 @@
         await assert_only_the_next_is_forwarded(limiter, endpoint, 1)
 
 
-@async_test
-async def test_no_attempt_begins_for_a_client_whose_confirmation_as_half_closed_is_late(
-    monkeypatch: pytest.MonkeyPatch,
+async def assert_half_closed_client_is_not_served(
+    monkeypatch: pytest.MonkeyPatch, *, stall_before_read: float = 0.0, stall_after_read: float = 0.0
 ) -> None:
-    """The end of its input was read and an interim response sent, but the result is not checked in time."""
+    """Let the process stand still before or after it reads the end of a waiting client's input."""
     script = ScriptedDecisions(take_no_action)
     endpoint = ScriptedEndpoint()
     async with limiter_with_endpoint(endpoint.handle_connection, script) as limiter:
@@ -225,9 +224,10 @@
         (event,) = await script.wait_for(model.Request)
         client = list(limiter.listener.connections)[-1]
         writer.write_eof()
+        time.sleep(stall_before_read)
         while not client.pipeline.liveness.input_ended:
             await asyncio.sleep(0)
-        time.sleep(LATE_SECONDS)
+        time.sleep(stall_after_read)
         execute(limiter, forward_to_s1(event))
         status, _, _ = await read_final_response(reader)
         assert " 429 " in status
@@ -235,6 +235,22 @@
         await assert_only_the_next_is_forwarded(limiter, endpoint, 1)
 
 
+@async_test
+async def test_no_attempt_begins_for_a_client_whose_confirmation_as_half_closed_is_late(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end of its input was read and an interim response sent, but the result is not checked in time."""
+    await assert_half_closed_client_is_not_served(monkeypatch, stall_after_read=LATE_SECONDS)
+
+
+@async_test
+async def test_no_attempt_begins_for_a_client_whose_input_ended_during_a_stall(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The end of its input is read as soon as the process goes on, and is older than that."""
+    await assert_half_closed_client_is_not_served(monkeypatch, stall_before_read=4 * LATE_SECONDS)
+
+
 @async_test
 async def test_request_of_a_client_that_has_just_half_closed_is_still_forwarded(
     monkeypatch: pytest.MonkeyPatch,
@@ -279,30 +295,6 @@
         writer.close()
 
 
-@async_test
-async def test_no_attempt_begins_for_a_client_whose_input_ended_during_a_stall(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """The end of its input is read as soon as the process goes on, and is older than that."""
-    script = ScriptedDecisions(take_no_action)
-    endpoint = ScriptedEndpoint()
-    async with limiter_with_endpoint(endpoint.handle_connection, script) as limiter:
-        await keep_endpoint_connection(limiter, monkeypatch)
-        reader, writer = await limiter.connect()
-        writer.write(http_request(timeout_ms=60000))
-        (event,) = await script.wait_for(model.Request)
-        client = list(limiter.listener.connections)[-1]
-        writer.write_eof()
-        time.sleep(4 * LATE_SECONDS)
-        while not client.pipeline.liveness.input_ended:
-            await asyncio.sleep(0)
-        execute(limiter, forward_to_s1(event))
-        status, _, _ = await read_final_response(reader)
-        assert " 429 " in status
-        writer.close()
-        await assert_only_the_next_is_forwarded(limiter, endpoint, 1)
-
-
 def is_failed_attempt(event: model.Event) -> TypeGuard[model.AttemptCompleted]:
     """Whether an attempt got an error response, and its request is still open."""
     return (
