Soak: excuse new connections that are shut unread in a crowd; fail reads of connections only

STANDING allows it: in a crowd new connections may be shut unread. Change: such a close is excused, and counted, on a new connection whose request reached no endpoint, while a crowd is there. The fault library fails reads of TCP connections only. Tests: without a crowd, with an attempt, and on a reused connection it is a violation.

--- a/soak/excuses.py
+++ b/soak/excuses.py
@@ -13,6 +13,8 @@
     KILLED_IN_SHUTDOWN = "arrived late in a shutdown, killed"
     RESENT_AFTER_KILL = "sent again by its client after a kill"
     READ_FAILED = "a read of its connection failed"
+    # A crowd of idle clients fills the descriptors: new connections may be shut unread (STANDING).
+    CROWDED = "shut unread in a crowd"
     PROCESS_STOPPED = "its process was stopped"
     LEFT_AT_DOOR = "no process served the accept queue"
     RUNNER_LATE = "the soak test itself was late"
--- a/soak/fault_injector.py
+++ b/soak/fault_injector.py
@@ -40,8 +40,7 @@
             limiters_of_kind = fault.limiters
             if fault.kind is FaultKind.CROWD:
                 limiters_of_kind = fault.limiters[:MAX_CROWDED_LIMITERS]
-            clients = [self._environment.clients[index] for index in limiters_of_kind]
-            await asyncio.gather(*(self._clients.inject(each, fault) for each in clients))
+            await asyncio.gather(*(self._inject_at_clients(index, fault) for index in limiters_of_kind))
         elif fault.kind in EndpointFaults.KINDS:
             await asyncio.gather(*(self._endpoints.inject(each, fault) for each in endpoints))
         elif fault.kind in EndpointNetworkFaults.KINDS:
@@ -50,6 +49,10 @@
             limiters = [self._environment.limiters[index] for index in fault.limiters]
             await asyncio.gather(*(self._inject_at_limiter(limiter, fault) for limiter in limiters))
 
+    async def _inject_at_clients(self, limiter: int, fault: Fault) -> None:
+        with self._history.span(fault.kind, limiter):
+            await self._clients.inject(self._environment.clients[limiter], fault)
+
     async def _inject_at_limiter(self, limiter: Limiter, fault: Fault) -> None:
         if fault.kind in ProcessFaults.KINDS:
             await self._inject_into_processes(limiter, fault)
--- a/soak/fault_library.c
+++ b/soak/fault_library.c
@@ -86,12 +86,13 @@
     return fstat(fd, &status) == 0 && S_ISSOCK(status.st_mode);
 }
 
+/* Only connections fail: the event loop wakes itself up through a pair of sockets of its own. */
 static int read_fails(int fd) {
     struct sockaddr_in peer = {0};
     socklen_t size = sizeof peer;
     if (control->read_failures <= 0 || !is_socket(fd)) return 0;
+    if (getpeername(fd, (struct sockaddr *)&peer, &size) != 0 || peer.sin_family != AF_INET) return 0;
     if (!fails(&control->read_failures, control->read_errno)) return 0;
-    getpeername(fd, (struct sockaddr *)&peer, &size);
     int position = __sync_fetch_and_add(&control->read_failure_count, 1) % FAILED_PORTS;
     control->failed_peer_ports[position] = ntohs(peer.sin_port);
     errno = control->read_errno;
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from soak.excuses import Excuse
+from soak.fault_kinds import FaultKind
 from soak.history import (
     Attempt,
     ClientBehaviour,
@@ -116,6 +117,8 @@
         return history.excuse(Excuse.RUNNER_LATE, applies=request.ended_at - runner_delay < due_at)
     if request.client_port in history.failed_reads.get(request.limiter, ()):
         return history.excuse(Excuse.READ_FAILED)
+    if _was_shut_in_crowd(history, request):
+        return history.excuse(Excuse.CROWDED)
     killed = _process_killed_around(history, request.limiter, request.ended_at)
     if killed is None:
         return False
@@ -125,6 +128,13 @@
     return history.excuse(Excuse.KILLED_IN_SHUTDOWN, applies=arrived_late)
 
 
+def _was_shut_in_crowd(history: History, request: ClientRequest) -> bool:
+    """Whether a new connection may have been shut unread because idle clients filled the descriptors."""
+    if not request.on_new_connection or _attempts_of(history, request):
+        return False
+    return history.is_affected(request.limiter, request.sent_at, request.ended_at, FaultKind.CROWD)
+
+
 def _process_killed_around(history: History, limiter: int, at: float) -> ProcessLifetime | None:
     """Return the process whose SIGKILL may have ended a connection at ``at``."""
     tolerance = timing_tolerance(history, at)
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -127,6 +127,20 @@
     assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
 
 
+def test_a_new_connection_that_was_shut_unread_is_found_unless_a_crowd_fills_the_descriptors() -> None:
+    closed = replace(REQUEST, outcome=RequestOutcome.CONNECTION_CLOSED, on_new_connection=True)
+    history = make_history(closed)
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history.spans.append(Span(FaultKind.CROWD, 0, 9.0, 11.0))
+    assert violated_invariants(history) == []
+    was_read = make_history(closed, ATTEMPT)
+    was_read.spans.append(Span(FaultKind.CROWD, 0, 9.0, 11.0))
+    assert violated_invariants(was_read) == [Invariant.EVERY_REQUEST_ANSWERED]
+    is_reused = make_history(replace(closed, on_new_connection=False))
+    is_reused.spans.append(Span(FaultKind.CROWD, 0, 9.0, 11.0))
+    assert violated_invariants(is_reused) == [Invariant.EVERY_REQUEST_ANSWERED]
+
+
 def test_a_client_that_gave_up_while_the_soak_test_was_late_is_no_evidence() -> None:
     history = make_history(replace(REQUEST, outcome=RequestOutcome.TIMED_OUT, ended_at=13.0))
     history.runner_delays.append(RunnerDelay(13.0, 1.4))  # the response was due at 11.5
