Let a handover confirm the incarnations that it names

Cause: before its first contact with discovery a process believes start times, because the list of its configuration may be stale (EndpointSet._age); it had been handed the list of the old process, which was seconds old, and believed them too. Change: EndpointState.confirmed_at is the time of the handover, and counts as contact for an endpoint that it names.

--- a/quota_gateway/decisions/endpoint_set.py
+++ b/quota_gateway/decisions/endpoint_set.py
@@ -59,6 +59,8 @@
         if state is None:
             state = self.by_name[endpoint.name] = EndpointState(endpoint)
         is_new_incarnation = state.update(endpoint)
+        if not math.isfinite(seconds_since_contact) and state.confirmed_at is not None:
+            seconds_since_contact = now - state.confirmed_at
         age = self._age(now, endpoint, seconds_since_contact)
         is_young = age < self.context.settings.warm_up_time
         if state.available and is_new_incarnation and is_young:
--- a/quota_gateway/state/endpoint.py
+++ b/quota_gateway/state/endpoint.py
@@ -52,6 +52,7 @@
     # Slow start.
     warming_since: float | None = None  # None: warmed up
     allowance: SlowStartAllowance = field(default_factory=SlowStartAllowance)
+    confirmed_at: float | None = None  # when another process of this limiter had this incarnation on its list
 
     def __post_init__(self) -> None:
         self.hash_position = blake2b(self.endpoint.name.encode(), digest_size=8).digest()
@@ -206,6 +207,7 @@
 
     def take_over(self, now: float, handover: EndpointHandover) -> None:
         """Take over what another process knows of the same incarnation."""
+        self.confirmed_at = now
         # A slow start that began later here, as by a restore, was not yet known to the other process.
         if self.warming_since is None or (handover.warming_since or 0.0) > self.warming_since:
             self.warming_since = handover.warming_since
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -174,6 +174,27 @@
     assert state.warming_since == 100.1
 
 
+def test_restart_after_a_handover_is_recognized_whatever_its_start_time() -> None:
+    """The first contact with discovery, after an upgrade, announces an incarnation that is an hour old."""
+    simulation = GatewaySimulation(make_settings(), now=10_000.0)
+    simulation.feed(started_endpoint("new", 5000.0))
+    state = simulation.gateway.endpoints.by_name["new"]
+    assert state.warming_since is None
+    known = model.EndpointHandover("new", 5000.0, None, 0, 0.0, 0.0, 0.0)
+    simulation.feed(model.HandoverState(1.0, 0.1, 1.0, {}, (known,), ()))
+    simulation.advance_to(10_002.0)
+    simulation.feed(started_endpoint("new", 10_002.0 - 3600.0))
+    assert state.warming_since == 10_002.0
+
+
+def test_incarnation_of_a_first_contact_without_a_handover_is_as_old_as_it_says() -> None:
+    """The list of the configuration may be stale: the restart may have been long ago."""
+    simulation = GatewaySimulation(make_settings(), now=10_000.0)
+    simulation.feed(started_endpoint("new", 5000.0))
+    simulation.feed(started_endpoint("new", 10_000.0 - 3600.0))
+    assert simulation.gateway.endpoints.by_name["new"].warming_since is None
+
+
 def test_a_gateway_whose_clock_is_behind_does_not_treat_all_endpoints_as_warming_up() -> None:
     """Start times in the future, in the first list, show that the local clock is behind."""
     simulation = GatewaySimulation(make_settings(), now=100.0)
