Soak: excuse what its own endpoints read late by the time for which the soak test stood still

Change: an excessive deadline is excused, and counted, only if the recorded stalls of the soak test between the client's send and the endpoint's first byte cover the whole excess; a slow start only if one lies within the window or the one before. Tests: stalls that are too short, or over before, excuse nothing.

--- a/soak/endpoint_checks.py
+++ b/soak/endpoint_checks.py
@@ -20,6 +20,7 @@
     FAULT_FREE_NOTIFICATION_SECONDS,
     WRITE_DELAY_SECONDS,
     is_excused_by_network,
+    is_excused_by_runner,
     notification_deadline,
     timing_tolerance,
 )
@@ -27,6 +28,7 @@
 
 SUSPENSION_TIMEOUT_SECONDS = 1.0
 NOTIFIED_FRACTION = 2 / 3  # of an overload, sent by limiters that knew of the restart
+MIN_BUNCHING_SECONDS = 0.05  # for which the endpoints of the soak test read nothing, and then much at once
 FEW_REQUESTS = 30  # below which the statistical tolerance is wider
 
 
@@ -171,7 +173,9 @@
         window = received[begin : end + 1]
         if age < WARM_UP_SECONDS and len(window) > allowed:
             notified = sum(_had_to_know(history, change, attempt) for attempt in window)
-            if notified > NOTIFIED_FRACTION * len(window):
+            begun_at = window[0].complete_at - OVERLOAD_WINDOW_SECONDS
+            is_inexact = is_excused_by_runner(history, begun_at, last.complete_at, MIN_BUNCHING_SECONDS)
+            if notified > NOTIFIED_FRACTION * len(window) and not is_inexact:
                 text = (
                     f"{change.endpoint} received {len(window)} requests within "
                     f"{OVERLOAD_WINDOW_SECONDS:.0f} s, {notified} from notified limiters, "
--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -27,7 +27,12 @@
     PlanName,
     RequestClass,
 )
-from soak.tolerances import WRITE_DELAY_SECONDS, is_excused_by_network, timing_tolerance
+from soak.tolerances import (
+    WRITE_DELAY_SECONDS,
+    is_excused_by_network,
+    is_excused_by_runner,
+    timing_tolerance,
+)
 from soak.violations import Invariant, Violation
 
 RESPONSE_GRACE_SECONDS = 0.5  # after the client's timeout
@@ -242,8 +247,11 @@
                 continue
             remaining = request.sent_at + request.timeout - attempt.first_byte_at
             tolerance = DEADLINE_TOLERANCE_SECONDS + timing_tolerance(history, attempt.first_byte_at)
-            is_excessive = attempt.propagated_deadline - remaining > tolerance
-            if is_excessive and not is_excused_by_network(history, attempt):
+            excess = attempt.propagated_deadline - remaining - tolerance
+            if excess > 0 and not (
+                is_excused_by_network(history, attempt)
+                or is_excused_by_runner(history, request.sent_at, attempt.first_byte_at, excess)
+            ):
                 text = f"deadline {attempt.propagated_deadline:.3f} s, {remaining:.3f} s remained"
                 yield Violation(
                     Invariant.DEADLINE_PROPAGATION,
--- a/soak/tolerances.py
+++ b/soak/tolerances.py
@@ -4,7 +4,7 @@
 
 from soak.excuses import Excuse
 from soak.fault_kinds import FaultKind
-from soak.history import Attempt, History, LimiterState
+from soak.history import ALL_LIMITERS, Attempt, History, LimiterState
 
 SOCKET_TOLERANCE_SECONDS = 0.05
 WRITE_DELAY_SECONDS = 0.15  # between the limiter's decision and its write to the socket
@@ -46,6 +46,15 @@
     return history.excuse(Excuse.NETWORK_FAULT, applies=may_be_delayed_by_network(history, attempt, until))
 
 
+def is_excused_by_runner(history: History, start: float, end: float, seconds: float) -> bool:
+    """Whether the soak test itself stood still for so long between two times; it is counted.
+
+    Its endpoints then read late what had arrived in time.
+    """
+    late = history.span_seconds(LimiterState.RUNNER_LATE, ALL_LIMITERS, start, end)
+    return history.excuse(Excuse.RUNNER_LATE, applies=late >= seconds)
+
+
 def notification_deadline(history: History, limiter: int, at: float) -> float:
     """Return the latest time at which a limiter has to know of a change that discovery had at ``at``."""
     latest = at + MAX_NOTIFICATION_SECONDS
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -231,6 +231,14 @@
         history.requests[request.id] = request
         history.attempts[request.id] = [replace(ATTEMPT, request_id=request.id, incarnation=1)]
     assert violated_invariants(history) == [Invariant.SLOW_START]
+    late = make_history(REQUEST, ATTEMPT)
+    late.endpoint_changes = history.endpoint_changes
+    late.requests = history.requests
+    late.attempts = history.attempts
+    late.spans.append(Span(LimiterState.RUNNER_LATE, ALL_LIMITERS, 7.0, 8.9))  # over before
+    assert violated_invariants(late) == [Invariant.SLOW_START]
+    late.spans.append(Span(LimiterState.RUNNER_LATE, ALL_LIMITERS, 9.2, 9.4))
+    assert violated_invariants(late) == []
     # Without discovery no limiter has to know of the restart.
     history.spans.append(Span(FaultKind.DISCOVERY_UNRESPONSIVE, ALL_LIMITERS, 8.5, 9.5))
     assert violated_invariants(history) == []
@@ -255,6 +263,17 @@
     ]
 
 
+def test_a_deadline_that_an_endpoint_read_late_is_found_unless_the_soak_test_stood_still_for_so_long() -> (
+    None
+):
+    history = make_history(REQUEST, replace(ATTEMPT, first_byte_at=10.6, complete_at=10.6))
+    assert violated_invariants(history) == [Invariant.DEADLINE_PROPAGATION]  # 0.3 s beyond the tolerance
+    history.spans.append(Span(LimiterState.RUNNER_LATE, ALL_LIMITERS, 10.1, 10.35))
+    assert violated_invariants(history) == [Invariant.DEADLINE_PROPAGATION]
+    history.spans.append(Span(LimiterState.RUNNER_LATE, ALL_LIMITERS, 10.4, 10.5))
+    assert violated_invariants(history) == []
+
+
 def test_an_exceeded_ceiling_is_found() -> None:
     history = History(started_at=0.0)
     for number in range(30):
