Ask for the age of input only where the system reports it

Change: whether the system reports the age is found out at the first connection of a process; where it does not, it is not asked again. On Linux nothing changes. Measured: the tests with stalled processes, on a system that reports it, pass unchanged.

--- a/quota_gateway/net/client/listener.py
+++ b/quota_gateway/net/client/listener.py
@@ -74,6 +74,8 @@
         if len(self.connections) >= self._max_connections and not self._evict_one():
             log.warning("out of client connections")
             connection.abort(CloseReason.OUT_OF_CONNECTIONS)
+        if self.shared.reports_data_age is None:
+            self.shared.record_data_age_support(reports_data_age=connection.transport.reports_data_age())
         self.shared.stats.record_accepted()
         self.connections[connection] = None
 
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -139,7 +139,7 @@
         """
         # The clock is read first: a stall of the process behind it can only make the arrival appear earlier.
         now = self.shared.clock()
-        data_age = self._transport.seconds_since_last_data()
+        data_age = self._transport.seconds_since_last_data() if self.shared.reports_data_age else None
         if data_age is None:
             self.liveness.record_seen(self.shared.stalls.unread_since(now))
             return now
--- a/quota_gateway/net/client/shared_state.py
+++ b/quota_gateway/net/client/shared_state.py
@@ -28,6 +28,7 @@
         "metrics",
         "open_request_ids",
         "parser",
+        "reports_data_age",
         "stalls",
         "stats",
     )
@@ -42,6 +43,7 @@
         self.draining = False
         self.closes_idle_connections = False
         self.open_request_ids = set[bytes]()  # of requests that have no final response yet
+        self.reports_data_age: bool | None = None  # whether the system does; None before the first connection
         self.active_connections = 0  # open connections that have sent data
         self._crowded_above = CROWDED_FRACTION * max_connections
 
@@ -54,6 +56,10 @@
         """Record that the listener accepts connections from now on."""
         self.stalls = StallDetector(self.clock())
 
+    def record_data_age_support(self, *, reports_data_age: bool) -> None:
+        """Record whether the system reports the age of the last data that a client sent."""
+        self.reports_data_age = reports_data_age
+
     def start_draining(self) -> None:
         """Close each connection with its next response from now on."""
         self.draining = True
--- a/quota_gateway/net/client/transport.py
+++ b/quota_gateway/net/client/transport.py
@@ -141,6 +141,10 @@
         assert self._transport is not None
         return socket_calls.has_socket_error(self._transport)
 
+    def reports_data_age(self) -> bool:
+        """Whether the system reports the age of the last data segment."""
+        return self._transport is not None and socket_calls.reports_data_age(self._transport)
+
     def seconds_since_last_data(self) -> float | None:
         """Return the age of the last data segment from the client; None if it is unknown."""
         return None if self._transport is None else socket_calls.seconds_since_last_data(self._transport)
--- a/quota_gateway/net/common/socket_calls.py
+++ b/quota_gateway/net/common/socket_calls.py
@@ -57,12 +57,21 @@
     with contextlib.suppress(OSError, struct.error):
         client_socket = transport.get_extra_info("socket")
         info = client_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-        (retransmission_timeout,) = NATIVE_UNSIGNED.unpack_from(info, RETRANSMISSION_TIMEOUT_OFFSET)
         (milliseconds,) = NATIVE_UNSIGNED.unpack_from(info, LAST_DATA_RECEIVED_OFFSET)
-        return float(milliseconds / MILLISECONDS_PER_SECOND) if retransmission_timeout else None
+        return float(milliseconds / MILLISECONDS_PER_SECOND)
     return None
 
 
+def reports_data_age(transport: asyncio.Transport) -> bool:
+    """Whether the system reports the age of the last data segment of an established connection."""
+    with contextlib.suppress(OSError, struct.error):
+        client_socket = transport.get_extra_info("socket")
+        info = client_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        (retransmission_timeout,) = NATIVE_UNSIGNED.unpack_from(info, RETRANSMISSION_TIMEOUT_OFFSET)
+        return bool(retransmission_timeout)
+    return False
+
+
 def limit_receive_buffer(transport: asyncio.Transport, size: int) -> None:
     """Bound the bytes that the system buffers for a socket that is not read."""
     with contextlib.suppress(OSError):
