Log the version of the list at the start, at each change and at discovery's first event

Both lines are new, and the list line begins with the version.

tests/test_pages.py reads the first two lines of a start where it read one, and checks both.

--- a/quota_gateway/lifecycle/startup.py
+++ b/quota_gateway/lifecycle/startup.py
@@ -22,10 +22,10 @@
 
 async def start(components: Components, config: Config, environment: Environment) -> None:
     """Accept clients and operators, then connect to discovery and the counter; may raise ConfigError."""
-    initial_version = None
+    initial_version = None if config.initial_endpoints is None else config.initial_endpoints.version
+    log.info("starting with endpoint list %s of the configuration", initial_version)
     if config.initial_endpoints is not None:
         components.dispatcher.on_watch_event(config.initial_endpoints)
-        initial_version = config.initial_endpoints.version
     # Polling starts after the endpoints are set: another process may have handed over state about them.
     on_group_changed = partial(_on_group_changed, components, config.max_descriptors)
     components.process_group.start_polling(on_group_changed, components.dispatcher.on_handover)
--- a/quota_gateway/net/discovery/client.py
+++ b/quota_gateway/net/discovery/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 from random import Random
 
@@ -11,6 +12,8 @@
 from quota_gateway.net.discovery.watch_event import WatchEvent
 from quota_gateway.net.discovery.watcher import EndpointWatcher
 
+log = logging.getLogger(__name__)
+
 
 class DiscoveryClient:
     """Follows discovery at the newest address, and at the previous one until the newest has sent an event.
@@ -52,7 +55,8 @@
         watcher = EndpointWatcher(
             host, port, since_version, deliver, self._timing, rng=self._rng, contact=self._contact
         )
-        task = self._candidate = asyncio.get_running_loop().create_task(watcher.follow())
+        name = f"discovery at {host}:{port}"
+        task = self._candidate = asyncio.get_running_loop().create_task(watcher.follow(), name=name)
 
     def close(self) -> None:
         """Stop following."""
@@ -62,6 +66,7 @@
 
     def _deliver(self, task: asyncio.Task[None], event: WatchEvent) -> None:
         if task is self._candidate:
+            log.info("%s: first event, endpoint list version %d", task.get_name(), event.version)
             previous = self._established
             self._established = task
             self._candidate = None
--- a/quota_gateway/net/dispatch/dispatcher.py
+++ b/quota_gateway/net/dispatch/dispatcher.py
@@ -150,7 +150,7 @@
             self._pool.update_endpoint(
                 endpoint.name, address, available=is_healthy, started_at=endpoint.started_at
             )
-        self._pool.log_transitions()
+        self._pool.log_transitions(watch_event.version)
         self.dispatch(update)
 
     def on_request(self, request: ClientRequest) -> None:
--- a/quota_gateway/net/upstream/endpoint_table.py
+++ b/quota_gateway/net/upstream/endpoint_table.py
@@ -95,13 +95,13 @@
         if self._by_name.get(endpoint.name) is endpoint:
             del self._by_name[endpoint.name]
 
-    def log_transitions(self) -> None:
-        """Log the transitions since the last call in one line, unless there are none."""
+    def log_transitions(self, version: int) -> None:
+        """Log the transitions since the last call, by ``version`` of the list, unless there are none."""
         if len(self._transitions.get(Transition.NEW, ())) == len(self._by_name):
             self._transitions.clear()  # all endpoints are new: the first list is not a change
         if not self._transitions:
             return
-        parts = list[str]()
+        parts = [f"version {version}"]
         for transition, names in self._transitions.items():
             shown = ", ".join(names[:MAX_LOGGED_NAMES]) + ", ..." * (len(names) > MAX_LOGGED_NAMES)
             parts.append(f"{transition.value} {len(names)} ({shown})")
--- a/quota_gateway/net/upstream/pool.py
+++ b/quota_gateway/net/upstream/pool.py
@@ -107,9 +107,9 @@
         """Make all endpoints unavailable except those in ``names``, the names in a complete endpoint list."""
         self._endpoints.retain_only(names)
 
-    def log_transitions(self) -> None:
+    def log_transitions(self, version: int) -> None:
         """Log the endpoint updates since the last call, with the names of the endpoints."""
-        self._endpoints.log_transitions()
+        self._endpoints.log_transitions(version)
 
     def set_suspended_endpoints(self, names: frozenset[str]) -> None:
         """Replace the names of the endpoints that operators have suspended.
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -76,6 +76,8 @@
     "attempts and health checks: %s",
     "discovery watch: %s",
     "endpoint list: %s",
+    "starting with endpoint list %s",
+    "first event, endpoint list version %d",
     ": slow start",
     "body stream to or from %s stalled",
     "a client accepted no data of its",
@@ -362,10 +364,12 @@
     try:
         assert process.stderr is not None
         first_line = process.stderr.readline()
+        second_line = process.stderr.readline()
         process.send_signal(signal.SIGTERM)
         process.communicate(timeout=EXIT_TIMEOUT)
     finally:
         process.kill()
         process.wait()
-    assert " ready: gateway 0 of 1, " in first_line
+    assert " starting with endpoint list 41 of the configuration" in first_line
+    assert " ready: gateway 0 of 1, " in second_line
     assert process.returncode == 0
