Failing test: requests to draining endpoints from a process that starts slowly

Discovery holds its reply back until a request is answered or the limiter has been polled for 0.3 s, so a process that serves before the reply does so on a machine of any speed.

Two of two cases fail: 200 from the endpoint. Its log has "ready" 8 ms after "starting with endpoint list 41", and no first event of discovery before the request. A second test holds what has to stay: with a silent discovery the process is ready within 6 s; it passes.

--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -100,6 +100,20 @@
 
     ``environment`` and ``variables`` are both added to the environment of the process.
     """
+    async with starting_limiter(raw, directory, fds, environment, **variables) as limiter:
+        await limiter.wait_until_ready()
+        yield limiter
+
+
+@asynccontextmanager
+async def starting_limiter(
+    raw: dict[str, Any],
+    directory: Path,
+    fds: tuple[int, ...] = (),
+    environment: Mapping[str, str] | None = None,
+    **variables: str,
+) -> AsyncIterator[LimiterProcess]:
+    """Do the same without waiting until the limiter is ready."""
     path = directory / "config.json"
     path.write_text(json.dumps(raw))
     process_environment = {**os.environ, "LB_CONFIG": str(path), **(environment or {}), **variables}
@@ -109,7 +123,6 @@
         )
         limiter = LimiterProcess(process, raw["listen"])
         try:
-            await limiter.wait_until_ready()
             yield limiter
         finally:
             if process.returncode is None:
