Soak: fail on requests to endpoints that drain while a process starts or is stopped

Now a process starts with the list of before the end of its predecessor; notification counts from the process's start (2 s after readiness beside another process); version 3 of the scenarios begins each run with endpoints that drain while a limiter is restarted or stopped for 2.3 to 2.8 s, followed by 16 requests at once, so that each run has the moment. SIGKILL follows the scenario's longest deadline, 1 s or 2 s, plus 0.7 s. Signals in series and crowds are in it as before.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -67,6 +67,11 @@
         """Open new connections again."""
         self._may_connect = True
 
+    def send_burst(self, count: int) -> None:
+        """Send ``count`` requests at once, on open and on new connections."""
+        for _ in range(count):
+            self._start_request(ClientBehaviour.NORMAL)
+
     async def keep_idle_connections(self, count: int, seconds: float) -> None:
         """Keep ``count`` idle connections open for ``seconds``."""
         tasks = [self._start_task(self._behaviours.keep_idle_connection()) for _ in range(count)]
--- a/soak/endpoint_checks.py
+++ b/soak/endpoint_checks.py
@@ -74,7 +74,7 @@
     history: History, period: _DrainPeriod, request: ClientRequest, attempt: Attempt
 ) -> Iterator[Violation]:
     at = attempt.first_byte_at
-    notified_by = notification_deadline(history, request.limiter, period.change.at)
+    notified_by = notification_deadline(history, request.limiter, period.change.at, by=at)
     latest = notified_by + DRAIN_GRACE_SECONDS + WRITE_DELAY_SECONDS + timing_tolerance(history, at)
     fault_free_latest = latest - notified_by + period.change.at + FAULT_FREE_NOTIFICATION_SECONDS
     if fault_free_latest < at <= latest:
@@ -205,4 +205,5 @@
     request = history.requests.get(attempt.request_id)
     if request is None:
         return False
-    return attempt.complete_at >= notification_deadline(history, request.limiter, change.at)
+    at = attempt.complete_at
+    return at >= notification_deadline(history, request.limiter, change.at, by=at)
--- a/soak/environment.py
+++ b/soak/environment.py
@@ -90,6 +90,7 @@
             discovery=Proxy(self.discovery_address),
             counter=Proxy(self._counter_address),
             listener_kept_open=self._scenario.listener_kept_open[index],
+            longest_deadline=self._scenario.longest_deadline,
         )
         self.limiters.append(limiter)
         await limiter.discovery.open()
@@ -101,7 +102,12 @@
     def _create_clients(self, limiter: Limiter, request_ids: count[int]) -> LimiterClients:
         random = Random(f"clients {self._scenario.seed} {limiter.index}")
         factory = RequestFactory(
-            limiter.index, self._scenario.limiter_count, self.history, random, request_ids
+            limiter.index,
+            self._scenario.limiter_count,
+            self.history,
+            random,
+            request_ids,
+            self._scenario.longest_deadline,
         )
         connections = ConnectionPool(limiter.port)
         return LimiterClients(connections, factory, self.history, random)
--- a/soak/fault_kinds.py
+++ b/soak/fault_kinds.py
@@ -45,6 +45,8 @@
     SIGNALS_IN_SHUTDOWN = "signals_in_shutdown"
     UPGRADE_ABORTED = "upgrade_aborted"
     UPGRADE_WITH_SIGNALS = "upgrade_with_signals"
+    RESTART_DURING_DRAIN = "restart_during_drain"
+    STOP_DURING_DRAIN = "stop_during_drain"
 
     RESTART_WARMING_UP = "restart_warming_up"
     RESTART_WITH_EARLIER_START_TIME = "restart_with_earlier_start_time"
@@ -96,7 +98,7 @@
 
 # Scenario versions.
 FIRST_VERSION = 1
-LATEST_VERSION = 2
+LATEST_VERSION = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -239,7 +241,23 @@
         },
         since_version=2,
     ),
+    **_specs(
+        FaultFamily.PROCESS,
+        FaultTarget.LIMITERS,
+        {
+            FaultKind.RESTART_DURING_DRAIN: (
+                "SIGTERM; endpoints drain; a new process, which starts for longer than the drain grace"
+            ),
+            FaultKind.STOP_DURING_DRAIN: (
+                "SIGSTOP; endpoints drain; requests and SIGCONT after the drain grace"
+            ),
+        },
+        since_version=3,
+    ),
 }
+# From this version on, each scenario contains one of these faults, which begins before all others.
+FIRST_VERSION_WITH_DRAIN_FAULTS = 3
+DRAIN_FAULTS = (FaultKind.RESTART_DURING_DRAIN, FaultKind.STOP_DURING_DRAIN)
 
 
 def kinds_of(family: FaultFamily, version: int) -> list[FaultKind]:
--- a/soak/limiter.py
+++ b/soak/limiter.py
@@ -21,7 +21,7 @@
 from soak.ports import free_port
 from soak.process_lifetime import ProcessLifetime
 from soak.proxy import LOOPBACK, Address, Proxy
-from soak.settings import MAX_DEADLINE_SECONDS, make_settings
+from soak.settings import make_settings
 
 READY_TIMEOUT_SECONDS = 20.0
 READY_POLL_SECONDS = 0.02
@@ -49,9 +49,11 @@
         discovery: Proxy,
         counter: Proxy,
         listener_kept_open: bool,
+        longest_deadline: float,
     ) -> None:
         """With ``listener_kept_open``, the runner owns the listening socket and the processes inherit it."""
         self.index = index
+        self._longest_deadline = longest_deadline  # seconds
         self.process_lock = asyncio.Lock()
         self.control = FaultControl(directory / "control")
         self.discovery = discovery
@@ -97,15 +99,22 @@
             "seed": f"{self.index + 1:016x}",
             "limits": {"sockets": MAX_SOCKETS},
             "known": known_endpoints,
-            "settings": make_settings(self.index, limiter_count),
+            "settings": make_settings(self.index, limiter_count, self._longest_deadline),
         }
         temporary = self._directory / "config.new"
         temporary.write_text(json.dumps(config))
         temporary.rename(self._directory / "config.json")
 
-    async def start(self) -> LimiterProcess:
-        """Start a process and return when it is ready. Raise ``SoakError`` if it does not become ready."""
+    async def start(self, delay: float = 0.0) -> LimiterProcess:
+        """Start a process and return when it is ready. Raise ``SoakError`` if it does not become ready.
+
+        The process is stopped for the first ``delay`` seconds, as if the machine were busy.
+        """
         started = await self.spawn()
+        if delay:
+            started.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(delay)
+            started.send_signal(signal.SIGCONT)
         await self._wait_until_ready(started)
         return started
 
@@ -186,7 +195,7 @@
         with self._history.span(LimiterState.TERMINATING, self.index):
             process.send_final_signal(signal.SIGTERM)
             try:
-                async with asyncio.timeout(MAX_DEADLINE_SECONDS + KILL_GRACE_SECONDS):
+                async with asyncio.timeout(self._longest_deadline + KILL_GRACE_SECONDS):
                     await process.wait()
             except TimeoutError:
                 process.send_signal(signal.SIGKILL)
--- a/soak/process_faults.py
+++ b/soak/process_faults.py
@@ -10,13 +10,15 @@
 from contextlib import contextmanager
 from typing import Any, ClassVar
 
+from soak.endpoints import SoakEndpoint
 from soak.environment import Environment
 from soak.fault_control import DirectoryCalls
 from soak.fault_kinds import FaultKind
-from soak.history import LimiterState, Span, Suspension
+from soak.history import EndpointHealth, LimiterState, Span, Suspension
 from soak.limiter import SUCCESS, Limiter
 from soak.limiter_process import LimiterProcess
 from soak.scenario import Fault
+from soak.settings import DRAIN_GRACE_SECONDS
 
 OLD_DISCOVERY_SECONDS = 1.5  # from SIGHUP until the connections to the old discovery address are reset
 RELOAD_SECONDS = 4.0  # from SIGHUP until the new configuration has to be in force
@@ -41,6 +43,13 @@
 UPGRADE_AFTER_SUSPENSION_SECONDS = 0.3
 # With an upgrade, the suspension ends this long after the upgrade and the fault's duration.
 SUSPENSION_EXTRA_SECONDS_WITH_UPGRADE = 2.0
+DRAINED_ENDPOINTS = 3
+# Time beyond the drain grace for which a process starts or is stopped while endpoints drain.
+MIN_SECONDS_AFTER_DRAIN_GRACE = 0.3
+SECONDS_AFTER_DRAIN_GRACE_RANGE = 0.5  # a random part of it is added to the least time
+DRAIN_EXTRA_SECONDS = 1.0  # the endpoints drain for this time and the fault's duration after the burst
+BURST_REQUESTS = 16
+CONNECT_SECONDS = 0.05  # until the requests to a stopped process are in its sockets
 
 
 class ProcessFaults:
@@ -58,17 +67,23 @@
         """Inject a fault into a limiter, and undo it after its duration."""
         await self.INJECTIONS[fault.kind](self, limiter, fault)
 
-    async def _start_process(self, limiter: Limiter) -> LimiterProcess:
-        self._environment.write_config(limiter)
+    async def _start_process(self, limiter: Limiter, delay: float = 0.0) -> LimiterProcess:
         with self._history.span(LimiterState.STARTING, limiter.index):
-            return await limiter.start()
+            return await limiter.start(delay)
+
+    async def _start_second_process(self, limiter: Limiter) -> LimiterProcess:
+        """Start a process beside the running one; its configuration has the current endpoint list."""
+        self._environment.write_config(limiter)
+        return await self._start_process(limiter)
 
     @contextmanager
     def _record_unavailability(self, limiter: Limiter) -> Iterator[None]:
         """Record the limiter as unavailable while the body ends its processes and starts the next one.
 
-        After the body, its clients may open new connections again.
+        The next process starts with the endpoint list of the time before the body, the last one that the
+        limiter had. After the body, its clients may open new connections again.
         """
+        self._environment.write_config(limiter)
         with self._history.span(LimiterState.UNAVAILABLE, limiter.index):
             yield
         self._environment.clients[limiter.index].allow_connects()
@@ -112,6 +127,47 @@
             await asyncio.sleep(fault.duration * fault.draw)
             process.send_signal(signal.SIGCONT)
 
+    async def _restart_during_drain(self, limiter: Limiter, fault: Fault) -> None:
+        process = limiter.current_process
+        with self._record_unavailability(limiter):
+            if process is not None:
+                with self._blocked_connects(limiter):
+                    await limiter.terminate(process)
+            drained = self._start_drains(fault)
+            await self._start_process(limiter, _seconds_beyond_drain_grace(fault))
+        self._environment.clients[limiter.index].send_burst(BURST_REQUESTS)
+        await self._end_drains(drained, fault)
+
+    async def _stop_during_drain(self, limiter: Limiter, fault: Fault) -> None:
+        process = limiter.current_process
+        if process is None:
+            return
+        with self._history.span(LimiterState.STOPPED, limiter.index):
+            process.send_signal(signal.SIGSTOP)
+            drained = self._start_drains(fault)
+            await asyncio.sleep(_seconds_beyond_drain_grace(fault))
+            self._environment.clients[limiter.index].send_burst(BURST_REQUESTS)
+            await asyncio.sleep(CONNECT_SECONDS)
+            process.send_signal(signal.SIGCONT)
+        await self._end_drains(drained, fault)
+
+    def _start_drains(self, fault: Fault) -> list[SoakEndpoint]:
+        """Drain endpoints, the same ones for each limiter of a fault; return those that did not drain yet."""
+        endpoints = self._environment.endpoints
+        first = int(fault.draw * len(endpoints))
+        chosen = [endpoints[(first + number) % len(endpoints)] for number in range(DRAINED_ENDPOINTS)]
+        drained = [endpoint for endpoint in chosen if endpoint.health is EndpointHealth.READY]
+        for endpoint in drained:
+            endpoint.start_draining()
+            self._environment.publish(endpoint)
+        return drained
+
+    async def _end_drains(self, endpoints: list[SoakEndpoint], fault: Fault) -> None:
+        await asyncio.sleep(fault.duration + DRAIN_EXTRA_SECONDS)
+        for endpoint in endpoints:
+            endpoint.end_draining()
+            self._environment.publish(endpoint)
+
     async def _restart_while_stopped(self, limiter: Limiter, fault: Fault) -> None:
         process = limiter.current_process
         if process is None:
@@ -181,7 +237,7 @@
 
     async def _upgrade_with_signals(self, limiter: Limiter, fault: Fault) -> None:
         old = limiter.current_process
-        new = await self._start_process(limiter)
+        new = await self._start_second_process(limiter)
         if old is None:
             return
         for process in (old, new):
@@ -197,19 +253,19 @@
 
     async def _upgrade(self, limiter: Limiter, fault: Fault) -> None:
         old = limiter.current_process
-        await self._start_process(limiter)
+        await self._start_second_process(limiter)
         await asyncio.sleep(MAX_UPGRADE_OVERLAP_SECONDS * fault.draw)
         if old is not None:
             await limiter.terminate(old)
 
     async def _roll_back_upgrade(self, limiter: Limiter, fault: Fault) -> None:
-        new = await self._start_process(limiter)
+        new = await self._start_second_process(limiter)
         await asyncio.sleep(MAX_UPGRADE_OVERLAP_SECONDS * fault.draw)
         await limiter.terminate(new)
 
     async def _terminate_both_in_upgrade(self, limiter: Limiter, fault: Fault) -> None:
         old = limiter.current_process
-        new = await self._start_process(limiter)
+        new = await self._start_second_process(limiter)
         if old is None:
             return
         with self._record_unavailability(limiter):
@@ -226,7 +282,7 @@
             return
         with self._history.span(LimiterState.STOPPED, limiter.index):
             old.send_signal(signal.SIGSTOP)
-            await self._start_process(limiter)
+            await self._start_second_process(limiter)
             await asyncio.sleep(fault.duration * fault.draw)
             old.send_signal(signal.SIGCONT)
         await asyncio.sleep(SIGCONT_TO_SIGTERM_SECONDS)
@@ -279,5 +335,13 @@
         FaultKind.SIGNALS_IN_SHUTDOWN: _signal_in_shutdown,
         FaultKind.UPGRADE_ABORTED: _abort_upgrade,
         FaultKind.UPGRADE_WITH_SIGNALS: _upgrade_with_signals,
+        FaultKind.RESTART_DURING_DRAIN: _restart_during_drain,
+        FaultKind.STOP_DURING_DRAIN: _stop_during_drain,
     }
     KINDS: ClassVar[frozenset[FaultKind]] = frozenset(INJECTIONS)
+
+
+def _seconds_beyond_drain_grace(fault: Fault) -> float:
+    """Return a time that is longer than the drain grace, in seconds."""
+    extra_seconds = MIN_SECONDS_AFTER_DRAIN_GRACE + SECONDS_AFTER_DRAIN_GRACE_RANGE * fault.draw
+    return DRAIN_GRACE_SECONDS + extra_seconds
--- a/soak/process_lifetime.py
+++ b/soak/process_lifetime.py
@@ -39,6 +39,10 @@
         """Record that the process has exited."""
         self.exited_at = time.monotonic()
 
+    def is_running_at(self, at: float) -> bool:
+        """Whether the process had started and had not exited."""
+        return self.started_at <= at and (not self.exited_at or at <= self.exited_at)
+
     def accepts_until(self) -> float:
         """Return the time until which the process has to accept new connections."""
         ends = [self.sigkill_at, self.exited_at]
--- a/soak/request_factory.py
+++ b/soak/request_factory.py
@@ -24,15 +24,22 @@
     """
 
     def __init__(
-        self, limiter: int, limiter_count: int, history: History, random: Random, ids: count[int]
+        self,
+        limiter: int,
+        limiter_count: int,
+        history: History,
+        random: Random,
+        ids: count[int],
+        longest_timeout: float = max(TIMEOUTS_SECONDS),
     ) -> None:
-        """``ids`` numbers all requests of the run."""
+        """``ids`` numbers all requests of the run; no client waits longer than ``longest_timeout``."""
         self._limiter = limiter
         self._first_of_group = limiter // LIMITERS_PER_ACCOUNT * LIMITERS_PER_ACCOUNT
         self._group_size = min(LIMITERS_PER_ACCOUNT, limiter_count - self._first_of_group)
         self._history = history
         self._random = random
         self._ids = ids
+        self._timeouts = [timeout for timeout in TIMEOUTS_SECONDS if timeout <= longest_timeout]
 
     def make(self, behaviour: ClientBehaviour) -> ClientRequest:
         """Draw a request."""
@@ -50,7 +57,7 @@
         plan = self._random.choices(list(PLAN_WEIGHTS), list(PLAN_WEIGHTS.values()))[0]
         first_account = self._first_of_group * ACCOUNTS_PER_LIMITER_GROUP
         account = first_account + self._random.randrange(ACCOUNTS_PER_LIMITER_GROUP)
-        timeout = self._random.choice(TIMEOUTS_SECONDS)
+        timeout = self._random.choice(self._timeouts)
         return ClientRequest(
             f"{next(self._ids):016x}",
             self._limiter,
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -6,13 +6,16 @@
 from random import Random
 
 from soak.fault_kinds import (
+    DRAIN_FAULTS,
     FAULT_SPECS,
     FIRST_VERSION,
+    FIRST_VERSION_WITH_DRAIN_FAULTS,
     FaultFamily,
     FaultKind,
     FaultTarget,
     kinds_of,
 )
+from soak.settings import MAX_DEADLINE_SECONDS
 
 # Faults are scheduled between these times after the start and before the end of the traffic. In the last
 # part, open requests end and the limiters recover.
@@ -31,6 +34,8 @@
 MAX_AFFECTED_ENDPOINTS_DIVISOR = 3  # a fault affects up to a third of the endpoints
 MIN_ENDPOINTS = 8
 MAX_ENDPOINTS = 12
+# The longest deadlines that scenarios draw from; SIGKILL follows SIGTERM sooner if it is shorter.
+LONGEST_DEADLINES_SECONDS = (MAX_DEADLINE_SECONDS, 1.0)
 CLOCK_ERRORS_SECONDS = (0.0, 0.0, 0.0, 30.0, 3600.0, -3600.0, -30.0)
 
 
@@ -66,13 +71,14 @@
     clock_error: float  # seconds by which the wall clocks of all limiters are wrong when they start
     faults: tuple[Fault, ...]
     version: int = FIRST_VERSION  # later versions have more fault kinds
+    longest_deadline: float = MAX_DEADLINE_SECONDS  # of all request classes, in seconds
 
     def describe(self) -> str:
         """Return the printed scenario, one line for each fault."""
         head = (
             f"seed {self.seed}: {self.limiter_count} limiters, {self.endpoint_count} endpoints, "
             f"{self.seconds:.0f} s, wall clocks {self.clock_error:+.0f} s off at the start, "
-            f"version {self.version}"
+            f"deadlines up to {self.longest_deadline:.1f} s, version {self.version}"
         )
         return "\n".join([head, *(fault.describe() for fault in self.faults)])
 
@@ -88,7 +94,16 @@
 
     def draw(self, family: FaultFamily, start: float, max_duration: float) -> Fault:
         """Draw a fault of a family. Another order of the draws would change the scenario of every seed."""
-        kind = self._random.choice(kinds_of(family, self._version))
+        return self.draw_of_kind(self._random.choice(kinds_of(family, self._version)), start, max_duration)
+
+    def draw_drain_fault(self) -> Fault:
+        """Draw the drain fault with which the faults of a scenario begin."""
+        return self.draw_of_kind(
+            self._random.choice(DRAIN_FAULTS), FAULT_FREE_START_SECONDS, 2 * MIN_FAULT_SECONDS
+        )
+
+    def draw_of_kind(self, kind: FaultKind, start: float, max_duration: float) -> Fault:
+        """Draw the targets, duration and detail of a fault."""
         limiters: tuple[int, ...] = ()
         endpoints: tuple[int, ...] = ()
         if FAULT_SPECS[kind].target is FaultTarget.LIMITERS:
@@ -121,6 +136,10 @@
     clock_error = random.choice(CLOCK_ERRORS_SECONDS)
     generator = _FaultGenerator(random, limiters, endpoints, version)
     faults = list[Fault]()
+    longest_deadline = MAX_DEADLINE_SECONDS
+    if version >= FIRST_VERSION_WITH_DRAIN_FAULTS:
+        longest_deadline = random.choice(LONGEST_DEADLINES_SECONDS)
+        faults.append(generator.draw_drain_fault())
     group_start = FAULT_FREE_START_SECONDS
     faults_end = seconds - FAULT_FREE_END_SECONDS
     while group_start < faults_end - MIN_FAULT_SECONDS:
@@ -132,5 +151,13 @@
         group_start += random.uniform(MIN_GROUP_GAP_SECONDS, MAX_GROUP_GAP_SECONDS)
     faults.sort(key=lambda fault: fault.start)
     return Scenario(
-        seed, seconds, limiters, endpoints, listener_kept_open, clock_error, tuple(faults), version
+        seed,
+        seconds,
+        limiters,
+        endpoints,
+        listener_kept_open,
+        clock_error,
+        tuple(faults),
+        version,
+        longest_deadline,
     )
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -47,10 +47,12 @@
 ]  # fmt: skip
 
 
-def make_settings(limiter: int, limiter_count: int) -> dict[str, Any]:
-    """Return the settings of one limiter of the run."""
+def make_settings(limiter: int, limiter_count: int, longest_deadline: float) -> dict[str, Any]:
+    """Return the settings of one limiter of the run; no class has a deadline beyond ``longest_deadline``."""
     return {
-        "classes": CLASSES,
+        "classes": [
+            entry | {"hard_limit_s": min(entry["hard_limit_s"], longest_deadline)} for entry in CLASSES
+        ],
         "tariffs": PLANS,
         "n_instances": limiter_count,
         "me": limiter,
--- a/soak/tolerances.py
+++ b/soak/tolerances.py
@@ -10,9 +10,10 @@
 WRITE_DELAY_SECONDS = 0.15  # from the limiter's decision to its write to the socket
 NETWORK_RECOVERY_SECONDS = 1.0  # a network fault may delay attempts up to this long after its end
 # Under any fault, a limiter must be notified within this time after discovery has a change. The duration of a
-# discovery outage and the time in which the limiter is stopped are added.
+# discovery outage is added; a stop of the process is not: what discovery has written counts as notified.
 MAX_NOTIFICATION_SECONDS = 6.0
 FAULT_FREE_NOTIFICATION_SECONDS = 0.2
+UPGRADE_NOTIFICATION_SECONDS = 2.0
 # A fault that ended up to this long before a change may still delay its notification.
 NOTIFICATION_LOOKBACK_SECONDS = 0.5
 NOTIFICATION_DELAYING_KINDS = (
@@ -20,8 +21,6 @@
     FaultKind.DISCOVERY_DOWN,
     FaultKind.DISCOVERY_FRAGMENTED,
     LimiterState.CHANGING_DISCOVERY_ADDRESS,
-    LimiterState.STOPPED,
-    LimiterState.UNAVAILABLE,
     FaultKind.CONNECT_ERRORS,
     FaultKind.SOCKET_ERRORS,
     FaultKind.READ_ERRORS,
@@ -61,13 +60,17 @@
     return history.excuse(Excuse.RUNNER_LATE, applies=late >= seconds)
 
 
-def notification_deadline(history: History, limiter: int, at: float) -> float:
-    """Return the time by which a limiter must be notified of a change that discovery had at ``at``."""
+def notification_deadline(history: History, limiter: int, at: float, *, by: float) -> float:
+    """Return the time by which a limiter must be notified of a change that discovery had at ``at``.
+
+    ``by`` is the time at which the limiter acted; what happened later does not matter.
+    """
     latest = at + MAX_NOTIFICATION_SECONDS
+    end = min(latest, by)
     if not history.is_affected(
-        limiter, at - NOTIFICATION_LOOKBACK_SECONDS, latest, *NOTIFICATION_DELAYING_KINDS
+        limiter, at - NOTIFICATION_LOOKBACK_SECONDS, end, *NOTIFICATION_DELAYING_KINDS
     ):
-        return at + FAULT_FREE_NOTIFICATION_SECONDS
+        return max(at + FAULT_FREE_NOTIFICATION_SECONDS, _notified_since_start(history, limiter, by))
     outage_ends = (
         span.end
         for span in history.spans
@@ -77,5 +80,23 @@
         and span.end >= at
     )
     available_at = max(at, max(outage_ends, default=at))
-    stopped = history.span_seconds(LimiterState.STOPPED, limiter, at, latest)
-    return available_at + MAX_NOTIFICATION_SECONDS + stopped
+    return available_at + MAX_NOTIFICATION_SECONDS
+
+
+def _notified_since_start(history: History, limiter: int, at: float) -> float:
+    """Return since when the processes that run at ``at`` count as notified of what discovery has.
+
+    A process counts as notified from its start, also while it cannot read its sockets yet. A process that
+    starts beside another one counts as notified 2 s after it has reported that it is ready.
+    """
+    running = [process for process in history.processes_of(limiter) if process.is_running_at(at)]
+    first_start = min((process.started_at for process in running), default=0.0)
+    return max(
+        (
+            process.started_at
+            if process.started_at == first_start
+            else (process.ready_at or at) + UPGRADE_NOTIFICATION_SECONDS
+            for process in running
+        ),
+        default=0.0,
+    )
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -215,6 +215,35 @@
     assert violated_invariants(history) == []
 
 
+def test_a_process_counts_as_notified_from_its_start_however_long_it_takes_to_be_ready() -> None:
+    """The drain began while no process ran; the attempt follows 2.4 s after the start of the next one."""
+    history = make_history(REQUEST, ATTEMPT)
+    history.endpoint_changes.append(EndpointChange(7.0, "s-1", EndpointHealth.DRAINING, 0))
+    history.spans.append(Span(LimiterState.UNAVAILABLE, 0, 6.5, 9.9))
+    history.processes.append(ProcessLifetime(0, 1.0, ready_at=1.5, sigterm_at=6.5, exited_at=6.9))
+    history.processes.append(ProcessLifetime(0, 7.61, ready_at=9.9))
+    assert violated_invariants(history) == [Invariant.NOTHING_TO_EXCLUDED_ENDPOINTS]
+    history.processes[1] = ProcessLifetime(0, 8.2, ready_at=9.9)  # the drain grace has not passed
+    assert violated_invariants(history) == []
+
+
+def test_a_second_process_counts_as_notified_two_seconds_after_it_is_ready() -> None:
+    history = make_history(REQUEST, ATTEMPT)
+    history.endpoint_changes.append(EndpointChange(5.0, "s-1", EndpointHealth.DRAINING, 0))
+    history.processes.append(ProcessLifetime(0, 1.0, ready_at=1.5))
+    history.processes.append(ProcessLifetime(0, 5.0, ready_at=6.5))
+    assert violated_invariants(history) == []
+    history.processes[1] = ProcessLifetime(0, 5.0, ready_at=5.5)
+    assert violated_invariants(history) == [Invariant.NOTHING_TO_EXCLUDED_ENDPOINTS]
+
+
+def test_a_stop_of_the_process_does_not_excuse_an_attempt_at_a_draining_endpoint() -> None:
+    history = make_history(REQUEST, ATTEMPT)
+    history.endpoint_changes.append(EndpointChange(7.2, "s-1", EndpointHealth.DRAINING, 0))
+    history.spans.append(Span(LimiterState.STOPPED, 0, 7.1, 10.0))
+    assert violated_invariants(history) == [Invariant.NOTHING_TO_EXCLUDED_ENDPOINTS]
+
+
 def test_an_attempt_at_a_suspended_endpoint_is_found_until_it_is_restored() -> None:
     history = make_history(REQUEST, ATTEMPT)
     history.suspensions.append(Suspension(0, "s-1", requested_at=7.0, accepted_at=7.1))
--- a/tests/test_soak_scenario.py
+++ b/tests/test_soak_scenario.py
@@ -12,9 +12,14 @@
 from soak.cli import ExitCode, main
 from soak.client_faults import ClientFaults
 from soak.endpoint_faults import EndpointFaults, EndpointNetworkFaults
-from soak.fault_kinds import FAULT_SPECS, LATEST_VERSION, FaultFamily, FaultTarget
+from soak.fault_kinds import DRAIN_FAULTS, FAULT_SPECS, LATEST_VERSION, FaultFamily, FaultTarget
 from soak.process_faults import ProcessFaults
-from soak.scenario import FAULT_FREE_END_SECONDS, FAULT_FREE_START_SECONDS, make_scenario
+from soak.scenario import (
+    FAULT_FREE_END_SECONDS,
+    FAULT_FREE_START_SECONDS,
+    LONGEST_DEADLINES_SECONDS,
+    make_scenario,
+)
 from soak.service_faults import ServiceFaults
 from soak.system_faults import SystemFaults
 
@@ -92,6 +97,13 @@
     assert drawn == set(FAULT_SPECS)
 
 
+def test_each_scenario_from_version_3_on_begins_with_a_drain_fault_and_some_have_short_deadlines() -> None:
+    """Without a drain during a restart or stop, a run says nothing about late notification."""
+    scenarios = [make_scenario(seed, 20.0, 6, version=3) for seed in range(40)]
+    assert {scenario.faults[0].kind for scenario in scenarios} == set(DRAIN_FAULTS)
+    assert {scenario.longest_deadline for scenario in scenarios} == set(LONGEST_DEADLINES_SECONDS)
+
+
 @pytest.mark.parametrize(
     "arguments",
     [
