End a start at SIGTERM instead of accepting clients behind it

SIGTERM during a start was handled only once the start was complete: with a shared directory that cannot be read the start takes 4 s, and the process then accepted clients for half a second and answered them after SIGKILL may have come (longest deadline plus 0.7 s). Class: a time that begins at the handling of an event, not at the event.

The start is now a task that SIGTERM cancels; the shutdown follows at once.

New test: SIGTERM once the process has created its directory, which it does behind the signal handlers and before it reads the suspensions.

--- a/quota_gateway/lifecycle/process.py
+++ b/quota_gateway/lifecycle/process.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from quota_gateway.config import Config, Environment
-from quota_gateway.lifecycle.components import build_components
+from quota_gateway.lifecycle.components import Components, build_components
 from quota_gateway.lifecycle.reload import ConfigReloader
 from quota_gateway.lifecycle.shutdown import shut_down
 from quota_gateway.lifecycle.startup import announce_ready, start
@@ -24,13 +24,32 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.set_exception_handler(_log_unhandled_error)
     components = build_components(config, environment)
-    await start(components, config, environment)
-    loop.add_signal_handler(signal.SIGHUP, ConfigReloader(components, config, environment))
-    announce_ready(config)
-    await stop_requested.wait()
+    if await _start_unless_stopped(components, config, environment, stop_requested):
+        loop.add_signal_handler(signal.SIGHUP, ConfigReloader(components, config, environment))
+        announce_ready(config)
+        await stop_requested.wait()
     log.info("shutting down")
     await shut_down(components, components.listener.signal_sent_after())
 
 
+async def _start_unless_stopped(
+    components: Components, config: Config, environment: Environment, stop_requested: asyncio.Event
+) -> bool:
+    """Start, and return True; cancel the start and return False if a stop is requested before it is complete.
+
+    SIGKILL follows SIGTERM after a fixed time, which a start may use up.
+    """
+    starting = asyncio.create_task(start(components, config, environment))
+    stopping = asyncio.create_task(stop_requested.wait())
+    await asyncio.wait((starting, stopping), return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if starting.done():
+        await starting  # raises ConfigError if the start has failed
+        return True
+    starting.cancel()
+    await asyncio.wait((starting,))
+    return False
+
+
 def _log_unhandled_error(_loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     log.error("%s", context.get("message"), exc_info=context.get("exception"))
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -3,13 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import json
 import signal
+import time
 from pathlib import Path
 
+from quota_gateway.lifecycle.shutdown import KILL_GRACE_SECONDS, MAX_DEADLINE_SECONDS
 from soak.fault_control import DirectoryCalls
-from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, ProcessFaults, make_config, running_limiter
+from tests.gateway_process import (
+    WIRE_SETTINGS,
+    LimiterProcess,
+    ProcessFaults,
+    free_port,
+    make_config,
+    running_limiter,
+    starting_limiter,
+)
 from tests.loopback import (
     ConnectionHandler,
     ScriptedEndpoint,
@@ -185,3 +196,42 @@
             faults.control.fail_directory_calls(0, DirectoryCalls.NONE)
             async with asyncio.timeout(3.0):
                 assert await connected.get() == "discovery"
+
+
+async def creates_its_group_directory(faults: ProcessFaults) -> None:
+    """Wait until the process has created a directory in the shared one; it then waits for suspensions."""
+    while not any(faults.shared_directory.iterdir()):
+        await asyncio.sleep(0.01)
+
+
+async def send_when_accepted(limiter: LimiterProcess) -> None:
+    """Connect until the limiter accepts, and send a request."""
+    while True:
+        with contextlib.suppress(ConnectionRefusedError):
+            _reader, writer = await limiter.connect()
+            writer.write(http_request())
+            return
+        await asyncio.sleep(0.01)
+
+
+@async_test
+async def test_a_process_that_is_terminated_while_it_starts_ends_before_sigkill(
+    faults: ProcessFaults, tmp_path: Path
+) -> None:
+    """Guards against clients accepted behind SIGTERM, whose requests SIGKILL would leave unanswered.
+
+    The start waits for the suspension file, which cannot be read, when the process has created its directory.
+    """
+    endpoint = ScriptedEndpoint()
+    async with running_server(endpoint.handle_connection) as address:
+        config = make_config(address) | {"mgmt": f"127.0.0.1:{free_port()}"}
+        faults.control.fail_directory_calls(errno.EIO, DirectoryCalls.READING)
+        async with starting_limiter(config, tmp_path, environment=faults.environment) as limiter:
+            await creates_its_group_directory(faults)
+            limiter.process.terminate()
+            terminated_at = time.monotonic()
+            request = asyncio.create_task(send_when_accepted(limiter))
+            assert await limiter.process.wait() == 0
+            assert time.monotonic() - terminated_at <= MAX_DEADLINE_SECONDS + KILL_GRACE_SECONDS
+            request.cancel()
+    assert endpoint.requests == []
