--- a/quota_gateway/lifecycle/startup.py
+++ b/quota_gateway/lifecycle/startup.py
@@ -11,6 +11,7 @@
 from quota_gateway.config import Config, ConfigError, Environment
 from quota_gateway.lifecycle.components import Components
 from quota_gateway.lifecycle.connection_limits import connection_limits
+from quota_gateway.net.common.acceptor import is_listening
 from quota_gateway.net.process_group.group import GroupChange, ProcessGroup
 
 log = logging.getLogger("quota_gateway")  # log lines about the process as a whole carry the package's name
@@ -22,6 +23,7 @@
 
 async def start(components: Components, config: Config, environment: Environment) -> None:
     """Accept clients and operators, then connect to discovery and the counter; may raise ConfigError."""
+    await _bind(components, config, environment)
     initial_version = None if config.initial_endpoints is None else config.initial_endpoints.version
     log.info("starting with endpoint list %s of the configuration", initial_version)
     if config.initial_endpoints is not None:
@@ -30,7 +32,7 @@
     on_group_changed = partial(_on_group_changed, components, config.max_descriptors)
     components.process_group.start_polling(on_group_changed, components.dispatcher.on_handover)
     await _wait_for_suspensions(components.process_group)
-    await _listen(components, config, environment)
+    _start_accepting(components)
     components.process_group.announce_accepting()
     components.discovery.set_address(*config.discovery, initial_version)
     if components.counter is not None:
@@ -61,14 +63,25 @@
     components.dispatcher.on_process_group_changed(change)
 
 
-async def _listen(components: Components, config: Config, environment: Environment) -> None:
+async def _bind(components: Components, config: Config, environment: Environment) -> None:
+    """Reserve the addresses of clients and operators; raise ConfigError if one is in use."""
     try:
         inherited = _inherited_socket(environment.listen_fd)
         # With an admin address, a new version can listen at the address of the old one even without an
         # inherited socket.
-        await components.listener.listen(*config.listen, inherited, reuse_port=config.admin is not None)
+        await components.listener.bind(*config.listen, inherited, reuse_port=config.admin is not None)
         if components.admin is not None and config.admin is not None:
-            await components.admin.listen(*config.admin)
+            await components.admin.bind(*config.admin)
+    except OSError as error:
+        raise ConfigError(f"cannot listen: {error}") from None
+
+
+def _start_accepting(components: Components) -> None:
+    """Accept clients and operators; raise ConfigError if another process listens at the address by now."""
+    try:
+        components.listener.start_accepting()
+        if components.admin is not None:
+            components.admin.start_accepting()
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
 
@@ -79,18 +92,13 @@
         return None
     try:
         inherited = socket.socket(fileno=int(descriptor))
-        if not _is_listening(inherited):
+        if not is_listening(inherited):
             raise ValueError("not a listening stream socket")
     except (OSError, ValueError) as error:
         raise ConfigError(f"LB_LISTEN_FD={descriptor:.20}: {error}") from None
     return inherited
 
 
-def _is_listening(candidate: socket.socket) -> bool:
-    is_stream = candidate.type is socket.SOCK_STREAM
-    return is_stream and bool(candidate.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN))
-
-
 def _freeze_long_lived_objects() -> None:
     # All objects that exist now live as long as the process.
     gc.collect()
--- a/quota_gateway/net/admin/listener.py
+++ b/quota_gateway/net/admin/listener.py
@@ -9,11 +9,12 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 from typing import NamedTuple, Protocol, cast
 
 from quota_gateway import model
-from quota_gateway.net.common.acceptor import Acceptor, create_listening_socket
+from quota_gateway.net.common.acceptor import Acceptor, create_bound_socket
 
 log = logging.getLogger(__name__)
 
@@ -133,12 +134,22 @@
         """``handler`` executes the commands of all connections."""
         self.handler = handler
         self._connections = dict[_AdminConnection, None]()  # oldest first
+        self._socket: socket.socket | None = None  # bound
         self._acceptor: Acceptor | None = None
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
-        """Listen, and return the bound host and port; raise ``OSError`` if the address is in use."""
-        listening = await create_listening_socket(host, port)
-        self._acceptor = Acceptor(listening, lambda: _AdminConnection(self), self._on_accept_error)
+        """Bind, and accept connections at once; return the address. Raises ``OSError``."""
+        await self.bind(host, port)
+        return self.start_accepting()
+
+    async def bind(self, host: str, port: int) -> None:
+        """Reserve an address without accepting connections; raise ``OSError`` if it is in use."""
+        self._socket = await create_bound_socket(host, port)
+
+    def start_accepting(self) -> tuple[str, int]:
+        """Accept connections at the bound address from now on, and return it. Raises ``OSError``."""
+        assert self._socket is not None
+        self._acceptor = Acceptor(self._socket, lambda: _AdminConnection(self), self._on_accept_error)
         return self._acceptor.address
 
     def _on_accept_error(self, error: OSError) -> None:
--- a/quota_gateway/net/client/listener.py
+++ b/quota_gateway/net/client/listener.py
@@ -15,7 +15,7 @@
 from quota_gateway.net.client.shared_state import SharedState
 from quota_gateway.net.client.stall_detector import HEARTBEAT_INTERVAL_SECONDS
 from quota_gateway.net.client.stats import CloseReason
-from quota_gateway.net.common.acceptor import Acceptor, create_listening_socket, errno_name
+from quota_gateway.net.common.acceptor import Acceptor, create_bound_socket, errno_name
 from quota_gateway.net.common.metrics import Metrics
 
 log = logging.getLogger(__name__)
@@ -46,6 +46,7 @@
         self._scan_timer: asyncio.TimerHandle | None = None
         self._scan_count = 0
         self._heartbeat_timer: asyncio.TimerHandle | None = None
+        self._socket: socket.socket | None = None  # bound, or inherited
         self._acceptor: Acceptor | None = None
         self._is_inherited = False  # whether the listening socket is inherited
         self._all_closed = asyncio.Event()
@@ -53,13 +54,24 @@
     async def listen(
         self, host: str, port: int, inherited: socket.socket | None = None, *, reuse_port: bool = False
     ) -> tuple[str, int]:
-        """Accept connections at an address or from an inherited listening socket; return the address.
+        """Bind, and accept connections at once; return the address. Raises OSError."""
+        await self.bind(host, port, inherited, reuse_port=reuse_port)
+        return self.start_accepting()
+
+    async def bind(
+        self, host: str, port: int, inherited: socket.socket | None = None, *, reuse_port: bool = False
+    ) -> None:
+        """Reserve an address, or take an inherited listening socket, without accepting connections.
 
         With ``reuse_port`` other processes may listen at the same address. Raises OSError.
         """
         self._is_inherited = inherited is not None
-        listening = inherited or await create_listening_socket(host, port, reuse_port=reuse_port)
-        self._acceptor = Acceptor(listening, self._new_connection, self._on_accept_error)
+        self._socket = inherited or await create_bound_socket(host, port, reuse_port=reuse_port)
+
+    def start_accepting(self) -> tuple[str, int]:
+        """Accept connections at the bound address from now on, and return it. Raises OSError."""
+        assert self._socket is not None
+        self._acceptor = Acceptor(self._socket, self._new_connection, self._on_accept_error)
         self.shared.start_serving()
         self._scan()
         self._record_heartbeat()
--- a/quota_gateway/net/common/acceptor.py
+++ b/quota_gateway/net/common/acceptor.py
@@ -20,7 +20,7 @@
 # for them release their descriptors only in the next iteration.
 MAX_ACCEPTS_PER_ITERATION = 8
 RETRY_INTERVAL_SECONDS = 0.01  # the time between a failed call and its retry
-MAX_LISTEN_RETRIES = 100
+MAX_BIND_RETRIES = 100
 # Errors of one waiting connection, which do not affect the next one; see accept(2).
 CONNECTION_ERRORS = frozenset((errno.ECONNABORTED, errno.EPROTO, errno.EPERM))
 # Errors of a call that may succeed when it is retried.
@@ -30,28 +30,37 @@
 ProtocolFactory = Callable[[], asyncio.BaseProtocol]
 
 
-async def create_listening_socket(host: str, port: int, *, reuse_port: bool = False) -> socket.socket:
-    """Return a socket that listens at an address.
+async def create_bound_socket(host: str, port: int, *, reuse_port: bool = False) -> socket.socket:
+    """Return a socket that is bound to an address and refuses connections until an ``Acceptor`` has it.
 
-    Retries while descriptors or memory are exhausted, up to ``MAX_LISTEN_RETRIES`` times. With ``reuse_port``
-    other sockets may listen at the same address. Raises ``OSError``.
+    Retries while descriptors or memory are exhausted, up to ``MAX_BIND_RETRIES`` times. With ``reuse_port``
+    other sockets may listen at the same address. Raises ``OSError``, also if the address is in use.
     """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    for _ in range(MAX_LISTEN_RETRIES):
+    for _ in range(MAX_BIND_RETRIES):
         try:
-            return _listen(host, port, family, reuse_port=reuse_port)
+            return _bind(host, port, reuse_port=reuse_port)
         except OSError as error:
             if error.errno not in TRANSIENT_ERRORS:
                 raise
             log.warning("cannot open a listening socket yet, retrying: %s", error)
         await asyncio.sleep(RETRY_INTERVAL_SECONDS)
-    return _listen(host, port, family, reuse_port=reuse_port)
+    return _bind(host, port, reuse_port=reuse_port)
 
 
-def _listen(host: str, port: int, family: socket.AddressFamily, *, reuse_port: bool) -> socket.socket:
-    return socket.create_server(
-        (host, port), family=family, backlog=ACCEPT_QUEUE_CONNECTIONS, reuse_port=reuse_port
-    )
+def _bind(host: str, port: int, *, reuse_port: bool) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family is socket.AF_INET6:
+            bound.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        if reuse_port:
+            bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
 
 
 class Acceptor:
@@ -60,7 +69,12 @@
     def __init__(
         self, listening: socket.socket, make_protocol: ProtocolFactory, on_error: ErrorObserver
     ) -> None:
-        """Start accepting; ``on_error`` is called with the error of each failure."""
+        """Listen at the address of a bound socket; ``on_error`` is called with the error of each failure.
+
+        The socket may listen already. Raises ``OSError`` if another socket listens at the address.
+        """
+        if not is_listening(listening):
+            listening.listen(ACCEPT_QUEUE_CONNECTIONS)
         listening.setblocking(False)  # noqa: FBT003 - positional only
         self._loop = asyncio.get_running_loop()
         self._listening = listening
@@ -150,6 +164,12 @@
                 self._start_transport(accepted)
 
 
+def is_listening(candidate: socket.socket) -> bool:
+    """Whether a socket is a stream socket that listens."""
+    is_stream = candidate.type is socket.SOCK_STREAM
+    return is_stream and bool(candidate.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN))
+
+
 def errno_name(error: OSError) -> str:
     """Return the symbolic name of an error's number, for logs and counts."""
     return errno.errorcode.get(error.errno or 0, os.strerror(error.errno or 0))
