--- a/quota_gateway/lifecycle/components.py
+++ b/quota_gateway/lifecycle/components.py
@@ -74,7 +74,12 @@
 
 
 def _build_discovery_client(timing: Timing, dispatcher: Dispatcher, rng: Random) -> DiscoveryClient:
-    poll_timing = PollTiming(timing.client_count, timing.response_timeout, timing.max_poll_interval)
+    poll_timing = PollTiming(
+        timing.client_count,
+        timing.response_timeout,
+        timing.max_poll_interval,
+        is_local_agent=timing.is_pushed,
+    )
     return DiscoveryClient(dispatcher.on_watch_event, poll_timing, rng)
 
 
--- a/quota_gateway/lifecycle/startup.py
+++ b/quota_gateway/lifecycle/startup.py
@@ -1,4 +1,4 @@
-"""Startup: open the sockets once the suspensions are known, and connect to discovery and the counter."""
+"""Startup: accept connections once the suspensions and discovery's endpoint list are known."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 from quota_gateway.lifecycle.components import Components
 from quota_gateway.lifecycle.connection_limits import connection_limits
 from quota_gateway.net.common.acceptor import is_listening
+from quota_gateway.net.discovery.client import DiscoveryClient
 from quota_gateway.net.process_group.group import GroupChange, ProcessGroup
 
 log = logging.getLogger("quota_gateway")  # log lines about the process as a whole carry the package's name
@@ -22,7 +23,11 @@
 
 
 async def start(components: Components, config: Config, environment: Environment) -> None:
-    """Accept clients and operators, then connect to discovery and the counter; may raise ConfigError."""
+    """Get discovery's endpoint list, then accept clients and operators; may raise ConfigError.
+
+    Where discovery pushes, its changes count as notified from the start of the process. The list of the
+    configuration may be older, and the drain grace may have passed before this function runs.
+    """
     await _bind(components, config, environment)
     initial_version = None if config.initial_endpoints is None else config.initial_endpoints.version
     log.info("starting with endpoint list %s of the configuration", initial_version)
@@ -31,10 +36,14 @@
     # Polling starts after the endpoints are set: another process may have handed over state about them.
     on_group_changed = partial(_on_group_changed, components, config.max_descriptors)
     components.process_group.start_polling(on_group_changed, components.dispatcher.on_handover)
-    await _wait_for_suspensions(components.process_group)
+    # An agent responds at no cost, so the complete list is requested: it is sent even if nothing has changed.
+    since_version = None if config.timing.is_pushed else initial_version
+    components.discovery.set_address(*config.discovery, since_version)
+    await asyncio.gather(
+        _wait_for_suspensions(components.process_group), _wait_for_endpoint_list(components.discovery)
+    )
     _start_accepting(components)
     components.process_group.announce_accepting()
-    components.discovery.set_address(*config.discovery, initial_version)
     if components.counter is not None:
         components.counter.start()
 
@@ -55,6 +64,12 @@
         await asyncio.sleep(SUSPENSIONS_POLL_SECONDS)
 
 
+async def _wait_for_endpoint_list(discovery: DiscoveryClient) -> None:
+    """Wait for discovery's list: endpoints of the configuration may be draining or may have restarted."""
+    if not await discovery.wait_for_first_event():
+        log.warning("starting without contact to discovery, with the endpoint list of the configuration")
+
+
 def _on_group_changed(components: Components, max_descriptors: int, change: GroupChange) -> None:
     """Divide the descriptors among the running processes, and pass the change to the dispatcher."""
     limits = connection_limits(max_descriptors, change.process_count)
--- a/quota_gateway/net/discovery/client.py
+++ b/quota_gateway/net/discovery/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from random import Random
@@ -33,6 +34,7 @@
         self._rng = rng or Random()
         self._contact = DiscoveryContact()
         self._address: tuple[str, int] | None = None
+        self._has_event = asyncio.Event()  # set once discovery has sent an event
         self._established: asyncio.Task[None] | None = None  # the watch that sent the last event
         # The watch at the newest address, until it sends its first event.
         self._candidate: asyncio.Task[None] | None = None
@@ -58,6 +60,12 @@
         name = f"discovery at {host}:{port}"
         task = self._candidate = asyncio.get_running_loop().create_task(watcher.follow(), name=name)
 
+    async def wait_for_first_event(self) -> bool:
+        """Wait until discovery has sent an event; return False if it has not sent one in time."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._has_event.wait(), self._timing.first_event_timeout)
+        return self._has_event.is_set()
+
     def close(self) -> None:
         """Stop following."""
         for task in (self._established, self._candidate):
@@ -74,3 +82,4 @@
                 previous.cancel()
         if task is self._established:
             self._on_event(event)
+            self._has_event.set()
--- a/quota_gateway/net/discovery/poll_timing.py
+++ b/quota_gateway/net/discovery/poll_timing.py
@@ -10,6 +10,10 @@
 # sends an empty line as a heartbeat every 2 s. The limiter must be notified of an update within 6 s of the
 # last line; this time includes the next request.
 SILENCE_TIMEOUT_SECONDS = 3.0
+# A starting process waits for its first event from discovery for the time of this number of polls, but not
+# longer than the time limit: it must be ready within 6 s.
+FIRST_EVENT_POLLS = 2
+MAX_FIRST_EVENT_TIMEOUT_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +23,13 @@
     client_count: int = 1  # the number of limiters that poll the same discovery
     response_timeout: float = SILENCE_TIMEOUT_SECONDS  # the time from the start of a request to its response
     max_interval: float = MAX_POLL_INTERVAL_SECONDS  # the time between the starts of two requests
+    # Whether discovery pushes: its agent on this machine serves only this limiter, and responds at once.
+    is_local_agent: bool = False
+
+    @property
+    def first_event_timeout(self) -> float:
+        """The longest time that a starting process waits for its first event from discovery, in seconds."""
+        return min(FIRST_EVENT_POLLS * self.max_interval, MAX_FIRST_EVENT_TIMEOUT_SECONDS)
 
 
 DEFAULT_POLL_TIMING = PollTiming()
--- a/quota_gateway/net/discovery/watcher.py
+++ b/quota_gateway/net/discovery/watcher.py
@@ -54,6 +54,7 @@
         self._timing = timing
         self._rng = rng or Random()
         self._consecutive_failures = 0
+        self._has_polled = False
         # The time of the last restart because of a malformed line, in seconds of the event loop's clock.
         self._last_restart_at = -math.inf
         self._malformed_line_logged = False
@@ -93,8 +94,8 @@
     async def _poll(self, elapsed: float) -> WatchRequest:
         """Send a request after a delay; return the request that has failed, or the watch that has ended.
 
-        The first request is delayed too. No request is sent if an earlier one receives a response during the
-        delay.
+        The first request is delayed too, unless discovery is a local agent. No request is sent if an earlier
+        one receives a response during the delay.
         """
         first_answered: asyncio.Future[WatchRequest] = asyncio.get_running_loop().create_future()
         self._first_answered = first_answered
@@ -109,6 +110,8 @@
         return watch
 
     def _draw_delay(self, elapsed: float) -> float:
+        if self._timing.is_local_agent and not self._has_polled:
+            return 0.0  # no other limiter polls the agent at the same time
         return poll_delay(
             self._timing.client_count,
             self._consecutive_failures,
@@ -118,6 +121,7 @@
         )
 
     def _start_request(self) -> WatchRequest:
+        self._has_polled = True
         self._unanswered = [request for request in self._unanswered if not request.task.done()]
         if len(self._unanswered) >= MAX_UNANSWERED_REQUESTS:
             # The second oldest request is cancelled: the oldest is nearest to the head of discovery's queue.
--- a/quota_gateway/settings_parser.py
+++ b/quota_gateway/settings_parser.py
@@ -42,6 +42,7 @@
     # once, and the limits are fractions of the drain notice.
     response_timeout: float = 3.0  # timeout of a call to discovery
     max_poll_interval: float = 4.5  # longest time from the start of one call to the start of the next
+    is_pushed: bool = False  # whether discovery pushes to an agent on the limiter's machine
 
 
 def parse_settings(raw: dict[str, Any]) -> model.Settings:
@@ -113,7 +114,9 @@
     )
     if not is_polled:
         agent_timeout = _agent_timeout(raw)
-        timing = replace(timing, response_timeout=agent_timeout, max_poll_interval=2 * agent_timeout)
+        timing = replace(
+            timing, is_pushed=True, response_timeout=agent_timeout, max_poll_interval=2 * agent_timeout
+        )
     if timing.connect_timeout <= 0 or timing.idle_timeout <= 0:
         raise SettingsError("settings: dial_timeout_s and conn_idle_s must be above 0")
     return timing
--- a/tests/test_wire_formats.py
+++ b/tests/test_wire_formats.py
@@ -281,7 +281,7 @@
     raw = json.loads(SETTINGS_TEXT)
     assert parse_settings(raw) == PARSED_SETTINGS
     assert parse_timing(raw) == Timing(0.375, 21.5, 7, 3.0, 4.5)
-    assert parse_timing(raw | {"discovery": "push"}) == Timing(0.375, 21.5, 1, 0.6, 1.2)
+    assert parse_timing(raw | {"discovery": "push"}) == Timing(0.375, 21.5, 1, 0.6, 1.2, is_pushed=True)
     disabled = {"limits": raw["limits"] | {"retry_after": False}, "report": {"how": "on_answer"}}
     assert parse_settings(raw | disabled) == replace(
         PARSED_SETTINGS, max_retry_after=0.0, load_in_health_check=False
