Read the changes that arrived during a stall before deciding or writing

Cause: the event loop handles sockets in the order in which they became readable, and the watch's lines were parsed by a task, an iteration later. Requests, responses that lead to a retry, and connections that came up were handled before.

Fix: LateInput. Before an event is handed to the decisions and before a request is written, the watch's socket is read without waiting, at most every 0.2 s, and so are the files of the process group (these were read at new requests only, so a retry could go to an endpoint suspended meanwhile). The watch's request is a protocol now, so a line is handled as it is read. A watch whose line is overdue is read before it counts as silent: behind a stall its lines may be in the socket.

--- a/quota_gateway/lifecycle/components.py
+++ b/quota_gateway/lifecycle/components.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from random import Random
 
@@ -10,6 +11,7 @@
 from quota_gateway.lifecycle.connection_limits import connection_limits
 from quota_gateway.net.admin.listener import AdminListener
 from quota_gateway.net.client.listener import ClientListener
+from quota_gateway.net.common.late_input import LateInput
 from quota_gateway.net.common.metrics import Metrics
 from quota_gateway.net.common.unix_clock import unix_clock, unix_offset
 from quota_gateway.net.counter.client import CounterClient
@@ -46,13 +48,26 @@
     process_group = ProcessGroup(shared_directory, config.name, clock_offset)
     metrics = Metrics(request_class.name for request_class in settings.classes)
     limits = connection_limits(config.max_descriptors, process_count=1)
-    pool = ConnectionPool(clock, timing.connect_timeout, timing.idle_timeout, limits.endpoints, metrics)
+    late_input = LateInput(asyncio.get_running_loop().time)
+    pool = ConnectionPool(
+        clock, timing.connect_timeout, timing.idle_timeout, limits.endpoints, metrics, late_input
+    )
     rng = Random(config.seed)
     counter = _build_counter_client(config, rng)
     gateway = _build_gateway(config, clock())
     dispatcher = Dispatcher(
-        settings, gateway, clock, pool=pool, counter=counter, metrics=metrics, process_group=process_group
+        settings,
+        gateway,
+        clock,
+        pool=pool,
+        counter=counter,
+        metrics=metrics,
+        process_group=process_group,
+        late_input=late_input,
     )
+    discovery = _build_discovery_client(timing, dispatcher, rng)
+    late_input.add_source(process_group.poll_if_late)
+    late_input.add_source(discovery.read_received)
     return Components(
         metrics=metrics,
         process_group=process_group,
@@ -61,7 +76,7 @@
         dispatcher=dispatcher,
         listener=ClientListener(dispatcher, settings, limits.clients, metrics),
         admin=AdminListener(dispatcher) if config.admin else None,
-        discovery=_build_discovery_client(timing, dispatcher, rng),
+        discovery=discovery,
     )
 
 
--- a/quota_gateway/net/common/socket_calls.py
+++ b/quota_gateway/net/common/socket_calls.py
@@ -6,11 +6,13 @@
 import contextlib
 import enum
 import fcntl
+import os
 import select
 import socket
 import struct
 import termios
 
+READ_BYTES = 65536
 NATIVE_INT = struct.Struct("i")
 NATIVE_UNSIGNED = struct.Struct("I")
 TCP_INFO_BYTES = 64  # struct tcp_info (Linux) up to the times of the last segments
@@ -52,6 +54,17 @@
     return bool(unread_bytes)
 
 
+def read_available(transport: asyncio.Transport) -> bytes:
+    """Return the next bytes that the socket has received; nothing if there are none, or after an error."""
+    descriptor = transport.get_extra_info("socket").fileno()
+    if descriptor < 0:
+        return b""
+    try:
+        return os.read(descriptor, READ_BYTES)
+    except OSError:
+        return b""
+
+
 def seconds_since_last_data(transport: asyncio.Transport) -> float | None:
     """Return the seconds since the last data segment arrived; None if the system does not report them."""
     with contextlib.suppress(OSError, struct.error):
--- a/quota_gateway/net/discovery/client.py
+++ b/quota_gateway/net/discovery/client.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from random import Random
 
 from quota_gateway.net.discovery.contact import DiscoveryContact
@@ -16,6 +17,14 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Watch:
+    """The watcher of one address, and the task in which it runs."""
+
+    watcher: EndpointWatcher
+    task: asyncio.Task[None]
+
+
 class DiscoveryClient:
     """Follows discovery at the newest address, and at the previous one until the newest has sent an event.
 
@@ -35,9 +44,8 @@
         self._contact = DiscoveryContact()
         self._address: tuple[str, int] | None = None
         self._has_event = asyncio.Event()  # set once discovery has sent an event
-        self._established: asyncio.Task[None] | None = None  # the watch that sent the last event
-        # The watch at the newest address, until it sends its first event.
-        self._candidate: asyncio.Task[None] | None = None
+        self._established: _Watch | None = None  # the watch that sent the last event
+        self._candidate: _Watch | None = None  # the watch at the newest address, until its first event
 
     def set_address(self, host: str, port: int, since_version: int | None = None) -> None:
         """Follow discovery at another address.
@@ -49,16 +57,17 @@
             return
         self._address = (host, port)
         if self._candidate is not None:
-            self._candidate.cancel()
+            self._candidate.task.cancel()
 
         def deliver(event: WatchEvent) -> None:
-            self._deliver(task, event)
+            self._deliver(watch, event)
 
         watcher = EndpointWatcher(
             host, port, since_version, deliver, self._timing, rng=self._rng, contact=self._contact
         )
         name = f"discovery at {host}:{port}"
-        task = self._candidate = asyncio.get_running_loop().create_task(watcher.follow(), name=name)
+        task = asyncio.get_running_loop().create_task(watcher.follow(), name=name)
+        watch = self._candidate = _Watch(watcher, task)
 
     async def wait_for_first_event(self) -> bool:
         """Wait until discovery has sent an event; return False if it has not sent one in time."""
@@ -66,20 +75,26 @@
             await asyncio.wait_for(self._has_event.wait(), self._timing.first_event_timeout)
         return self._has_event.is_set()
 
+    def read_received(self) -> None:
+        """Handle the events that have arrived and that the event loop has not read yet."""
+        for watch in (self._established, self._candidate):
+            if watch is not None:
+                watch.watcher.read_received()
+
     def close(self) -> None:
         """Stop following."""
-        for task in (self._established, self._candidate):
-            if task is not None:
-                task.cancel()
+        for watch in (self._established, self._candidate):
+            if watch is not None:
+                watch.task.cancel()
 
-    def _deliver(self, task: asyncio.Task[None], event: WatchEvent) -> None:
-        if task is self._candidate:
-            log.info("%s: first event, endpoint list version %d", task.get_name(), event.version)
+    def _deliver(self, watch: _Watch, event: WatchEvent) -> None:
+        if watch is self._candidate:
+            log.info("%s: first event, endpoint list version %d", watch.task.get_name(), event.version)
             previous = self._established
-            self._established = task
+            self._established = watch
             self._candidate = None
             if previous is not None:
-                previous.cancel()
-        if task is self._established:
+                previous.task.cancel()
+        if watch is self._established:
             self._on_event(event)
             self._has_event.set()
--- a/quota_gateway/net/discovery/watch_request.py
+++ b/quota_gateway/net/discovery/watch_request.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 from dataclasses import replace
-from typing import Protocol
+from typing import Protocol, cast
 
 import httptools
 
+from quota_gateway.net.common.socket_calls import read_available
 from quota_gateway.net.discovery.contact import DiscoveryContact
 from quota_gateway.net.discovery.poll_timing import SILENCE_TIMEOUT_SECONDS
 from quota_gateway.net.discovery.watch_event import MalformedEventError, WatchEvent, parse_watch_event
@@ -20,7 +22,6 @@
 # requests.
 QUEUE_TIMEOUT_SECONDS = 60.0
 MAX_LINE_BYTES = 4 * 1024 * 1024
-READ_BYTES = 65536
 STATUS_OK = 200
 STATUS_TOO_MANY_REQUESTS = 429
 MIN_SERVER_ERROR_STATUS = 500
@@ -53,10 +54,10 @@
         """Whether the watch may restart because a malformed line was dropped."""
 
 
-class WatchRequest:
+class WatchRequest(asyncio.Protocol):
     """A watch request to discovery, from connecting to the end of the event stream.
 
-    The response parser calls the ``on_`` methods.
+    The event loop calls the methods of ``asyncio.Protocol``, the response parser the ``on_`` methods.
     """
 
     def __init__(self, owner: RequestOwner, response_timeout: float) -> None:
@@ -70,6 +71,10 @@
         self.last_line_at = self.started_at
         self._deadline = self.started_at + response_timeout
         self._parser = httptools.HttpResponseParser(self)
+        self._transport: asyncio.Transport | None = None
+        self._is_parsing = False
+        self._error: Exception | None = None  # why the request or its event stream has ended
+        self._activity = asyncio.Event()  # set when data arrives and when the request ends
         self.task = self._loop.create_task(self._run())
 
     async def _run(self) -> None:
@@ -82,16 +87,17 @@
             log.exception("unexpected error in a watch request to discovery; sending a new one")
 
     async def _follow(self) -> None:
+        """Connect, send the request, and raise the error with which the event stream ends."""
         async with asyncio.timeout_at(self._deadline):
-            reader, writer = await asyncio.open_connection(self._owner.host, self._owner.port)
+            transport, _ = await self._loop.create_connection(
+                lambda: self, self._owner.host, self._owner.port
+            )
         self._deadline = self.started_at + QUEUE_TIMEOUT_SECONDS
         try:
-            writer.write(self._request())
-            while True:
-                await self._read(reader)
-                self._restart_if_event_lost()
+            transport.write(self._request())
+            await self._wait_for_end()
         finally:
-            writer.transport.abort()
+            transport.abort()
 
     def _request(self) -> bytes:
         owner = self._owner
@@ -99,12 +105,57 @@
         host = f"Host: {owner.host}:{owner.port}"
         return f"GET /v1/servers?follow=1{since} HTTP/1.1\r\n{host}\r\n\r\n".encode()
 
-    async def _read(self, reader: asyncio.StreamReader) -> None:
-        async with asyncio.timeout_at(self._deadline):
-            data = await reader.read(READ_BYTES)
-        if not data:
-            raise ConnectionError("discovery closed the connection")
-        self._parser.feed_data(data)
+    async def _wait_for_end(self) -> None:
+        """Raise the error with which the event stream ends, or TimeoutError if its next line is overdue."""
+        while self._error is None:
+            if self._loop.time() >= self._deadline:
+                self.read_received()  # during a stall of this process lines arrive that are not overdue
+                if self._error is None and self._loop.time() >= self._deadline:
+                    raise TimeoutError
+            self._activity.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout_at(self._deadline):
+                    await self._activity.wait()
+        raise self._error
+
+    def _end(self, error: Exception) -> None:
+        if self._error is None:
+            self._error = error
+            self._activity.set()
+
+    def read_received(self) -> None:
+        """Handle what the socket has received and the event loop has not read yet, without waiting."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._is_parsing:
+            return
+        # The event loop is notified of an error or of the end of the stream, too.
+        while self._error is None and (data := read_available(transport)):
+            self.data_received(data)
+
+    # Methods of asyncio.Protocol.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a part of the response; the request ends with the first error."""
+        if self._error is not None:
+            return
+        self._activity.set()  # the data may change the deadline
+        self._is_parsing = True
+        try:
+            self._parser.feed_data(data)
+            self._restart_if_event_lost()
+        except Exception as error:  # noqa: BLE001 - raised again by ``_wait_for_end``
+            self._end(error)
+        finally:
+            self._is_parsing = False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the request."""
+        self._transport = None
+        self._end(exc or ConnectionError("discovery closed the connection"))
 
     def _restart_if_event_lost(self) -> None:
         """End the watch if a malformed line was dropped: no later line repeats the changes in it."""
--- a/quota_gateway/net/discovery/watcher.py
+++ b/quota_gateway/net/discovery/watcher.py
@@ -153,6 +153,12 @@
             self._consecutive_failures += 1
         self._log.record(WatchOutcome.FAILED)
 
+    def read_received(self) -> None:
+        """Handle the lines that have arrived and that the event loop has not read yet."""
+        for request in (*self._unanswered, self._latest):
+            if request is not None:
+                request.read_received()
+
     # Events of requests.
 
     def on_response_started(self, answered: WatchRequest) -> None:
--- a/quota_gateway/net/dispatch/dispatcher.py
+++ b/quota_gateway/net/dispatch/dispatcher.py
@@ -14,6 +14,7 @@
 from quota_gateway import model
 from quota_gateway.net.admin.listener import ReplyCallback
 from quota_gateway.net.client.request import ClientRequest
+from quota_gateway.net.common.late_input import LateInput
 from quota_gateway.net.common.metrics import Metrics
 from quota_gateway.net.counter.client import CounterClient
 from quota_gateway.net.discovery.watch_event import WatchEvent
@@ -56,8 +57,12 @@
         counter: CounterClient | None,
         metrics: Metrics | None = None,
         process_group: ProcessGroup | None = None,
+        late_input: LateInput | None = None,
     ) -> None:
-        """Create the dispatcher in a running event loop; ``clock`` returns seconds of Unix time."""
+        """Create the dispatcher in a running event loop; ``clock`` returns seconds of Unix time.
+
+        ``late_input`` is read before the decisions handle an event.
+        """
         self.settings = settings
         self._decisions = decisions
         self._clock = clock
@@ -65,6 +70,7 @@
         self._metrics = metrics or Metrics()
         self._process_group = process_group or ProcessGroup(None, "")
         self._loop = asyncio.get_running_loop()
+        self._late_input = late_input or LateInput(self._loop.time)
         self._events = deque[model.Event]()
         self._dispatching = False
         self._terminating = False
@@ -104,9 +110,11 @@
 
         The event is queued if another one is being handled.
         """
-        self._events.append(event)
         if self._dispatching:
+            self._events.append(event)
             return
+        self._late_input.read_if_due()
+        self._events.append(event)
         self._dispatching = True
         try:
             while self._events:
@@ -155,7 +163,6 @@
 
     def on_request(self, request: ClientRequest) -> None:
         """Dispatch a request; if its body is streamed, only the head has been received completely."""
-        self._process_group.poll_if_late()
         event = request.event
         assert event is not None
         if self._terminating:
--- a/quota_gateway/net/upstream/pool.py
+++ b/quota_gateway/net/upstream/pool.py
@@ -8,6 +8,7 @@
 
 from quota_gateway.model import CallStatus
 from quota_gateway.net.common.invariants import Invariant
+from quota_gateway.net.common.late_input import LateInput
 from quota_gateway.net.common.metrics import Metrics
 from quota_gateway.net.upstream.connection import UpstreamConnection
 from quota_gateway.net.upstream.connector import Connector
@@ -42,9 +43,14 @@
         idle_timeout: float,
         max_connections: int,
         metrics: Metrics | None = None,
+        late_input: LateInput | None = None,
     ) -> None:
-        """Timeouts are in seconds; endpoints close connections that have been idle for ``idle_timeout``."""
+        """Timeouts are in seconds; endpoints close connections that have been idle for ``idle_timeout``.
+
+        ``late_input`` is read before a request is written.
+        """
         metrics = metrics or Metrics()
+        self._late_input = late_input or LateInput(asyncio.get_running_loop().time)
         self.exchanges = ExchangeControl(clock, metrics)
         self._clock = clock
         self._invariants = metrics.invariants
@@ -186,6 +192,7 @@
         """
         for _ in range(MAX_CHECKS_BEFORE_WRITE):
             checked_at = self._clock()
+            self._late_input.read_if_due()
             # The poll of the client may withdraw this exchange.
             if not self._connections.is_usable(connection) or exchange.has_lost_client():
                 return None
--- a/tests/pool_harness.py
+++ b/tests/pool_harness.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import NamedTuple, Self
 
+from quota_gateway.net.common.late_input import LateInput
 from quota_gateway.net.common.unix_clock import unix_clock
 from quota_gateway.net.upstream.exchange import Exchange
 from quota_gateway.net.upstream.pool import ConnectionPool
@@ -34,10 +35,13 @@
         idle_timeout: float = 30.0,
         max_connections: int = 200,
         connect_timeout: float = 5.0,
+        late_input: LateInput | None = None,
     ) -> None:
         self._running_clock = unix_clock()
         self._stopped_at: float | None = None
-        self.pool = ConnectionPool(self.clock, connect_timeout, idle_timeout, max_connections)
+        self.pool = ConnectionPool(
+            self.clock, connect_timeout, idle_timeout, max_connections, late_input=late_input
+        )
         self.pool.update_endpoint(ENDPOINT, address, available=True)
 
     async def __aenter__(self) -> Self:
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -66,8 +66,8 @@
                 await notified.wait()
         await new_discovery.polled.wait()
         assert client._established is not None
-        assert not client._established.cancelled()
-        old_watch = client._established
+        old_watch = client._established.task
+        assert not old_watch.cancelled()
         notified.clear()
         new_discovery.may_respond.set()
         await notified.wait()
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -7,19 +7,33 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from quota_gateway.net.upstream.idle_connections import SETTLE_DELAY_SECONDS
 from tests.discovery_server import RESPONSE_HEAD, chunk, message, read_request_path
-from tests.gateway_process import WIRE_SETTINGS, make_config, running_limiter
-from tests.loopback import ScriptedEndpoint, async_test, http_request, read_message, running_server
+from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, make_config, running_limiter
+from tests.loopback import (
+    OK_RESPONSE,
+    ScriptedEndpoint,
+    async_test,
+    http_request,
+    read_message,
+    running_server,
+)
+from tests.pool_harness import empty_response
 
 DRAIN_GRACE = 2.0  # seconds
 REPLY_DELAY = 0.3  # seconds for which discovery holds its reply back if no request is answered before
 SLOW_START = DRAIN_GRACE + 0.2  # seconds from the start of a process to the first line of its code
+HEARTBEAT_INTERVAL = 1.0  # seconds
+SERVICE_TIME = 0.05  # seconds; concurrent requests go to different endpoints
 READY_WITHIN = 6.0  # seconds from the start of a process
 SETTINGS = WIRE_SETTINGS | {"contract": {"stop_sending_within_s": DRAIN_GRACE}}
 
@@ -115,3 +129,157 @@
         async with running_limiter(config, tmp_path):
             assert time.monotonic() - started_at < READY_WITHIN
             assert " 200 " in await send_until_answered(config["listen"])
+
+
+class PushingDiscovery:
+    """Discovery that sends the configuration's list first, and then what the test writes to the watch."""
+
+    def __init__(self, hosts: list[dict[str, Any]]) -> None:
+        self._hosts = hosts
+        self._watches = asyncio.Queue[asyncio.StreamWriter]()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Send the complete list, then heartbeats."""
+        await read_request_path(reader)
+        line = json.dumps({"seq": 41, "whole": True, "hosts": self._hosts}).encode() + b"\n"
+        writer.write(RESPONSE_HEAD + chunk(line))
+        self._watches.put_nowait(writer)
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            writer.write(chunk(b"\n"))
+
+    async def opened_watch(self) -> asyncio.StreamWriter:
+        """Wait until a watch was opened, and return its writer."""
+        return await self._watches.get()
+
+
+def host_entry(name: str, address: str) -> dict[str, Any]:
+    """Return the entry of a ready endpoint."""
+    return {"host": name, "dial": address, "site": "a", "block": 0, "health": "ready", "born_ms": 0}
+
+
+async def stop_while_draining(
+    limiter: LimiterProcess, watch: asyncio.StreamWriter, name: str, address: str
+) -> None:
+    """Stop the process, send the drain of an endpoint to its watch, and wait for the end of the grace."""
+    limiter.process.send_signal(signal.SIGSTOP)
+    watch.write(chunk(message(42, "draining", host=name, dial=address, born_ms=0)))
+    await watch.drain()
+    await asyncio.sleep(DRAIN_GRACE + 0.15)
+
+
+@async_test
+async def test_a_request_that_was_readable_before_the_drain_is_not_forwarded_after_a_stall(
+    tmp_path: Path,
+) -> None:
+    """Guards against the order of the event loop: it reads the socket that was readable first.
+
+    The first byte of the request arrives before the drain, and the rest when the drain grace has passed.
+    """
+    endpoint = ScriptedEndpoint()
+    async with running_server(endpoint.handle_connection) as address:
+        discovery = PushingDiscovery([host_entry("s1", address)])
+        async with running_server(discovery.serve) as discovery_address:
+            config = make_config(address, discovery_address) | {"settings": SETTINGS}
+            async with running_limiter(config, tmp_path) as limiter:
+                watch = await discovery.opened_watch()
+                reader, writer = await limiter.connect()
+                writer.write(http_request())
+                assert " 200 " in (await read_message(reader))[0]
+                limiter.process.send_signal(signal.SIGSTOP)
+                request = http_request()
+                writer.write(request[:1])
+                await asyncio.sleep(0.05)
+                await stop_while_draining(limiter, watch, "s1", address)
+                writer.write(request[1:])
+                await asyncio.sleep(0.05)
+                limiter.process.send_signal(signal.SIGCONT)
+                assert " 429 " in (await read_message(reader))[0]
+    assert len(endpoint.requests) == 1
+
+
+class RetriedEndpoints:
+    """Two endpoints, which answer requests until ``start_rejecting`` is called.
+
+    From then on they hold their rejections back until ``may_respond`` is set.
+    """
+
+    def __init__(self) -> None:
+        self.received_by = list[str]()
+        self.received = asyncio.Event()
+        self.may_respond = asyncio.Event()
+        self._rejects = False
+
+    async def serve(self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        while True:
+            await read_message(reader)
+            self.received_by.append(name)
+            self.received.set()
+            if self._rejects:
+                await self.may_respond.wait()
+                writer.write(empty_response("503 Service Unavailable", "X-Not-Processed: 1\r\n"))
+            else:
+                await asyncio.sleep(SERVICE_TIME)
+                writer.write(OK_RESPONSE)
+
+    def start_rejecting(self) -> None:
+        """Reject the following requests."""
+        self._rejects = True
+        self.received_by.clear()
+        self.received.clear()
+
+
+async def send_until_forwarded(
+    endpoints: RetriedEndpoints, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> asyncio.Task[tuple[str, dict[str, str], bytes]]:
+    """Send requests until an endpoint has received one, and return the task that reads its response.
+
+    The limiter itself may reject the first ones.
+    """
+    received = asyncio.create_task(endpoints.received.wait())
+    while True:
+        writer.write(http_request())
+        response = asyncio.create_task(read_message(reader))
+        await asyncio.wait((response, received), return_when=asyncio.FIRST_COMPLETED)
+        if received.done():
+            return response
+
+
+@async_test
+async def test_a_retry_after_a_stall_does_not_go_to_an_endpoint_that_drains_by_then(tmp_path: Path) -> None:
+    """Guards against a retry that is decided before the drain is read: its cause arrives first.
+
+    Both endpoints have an idle connection, so the retry needs no iteration of the event loop in between.
+    """
+    endpoints = RetriedEndpoints()
+    async with (
+        running_server(partial(endpoints.serve, "s1")) as first,
+        running_server(partial(endpoints.serve, "s2")) as second,
+    ):
+        addresses = {"s1": first, "s2": second}
+        hosts = [host_entry(name, address) for name, address in addresses.items()]
+        discovery = PushingDiscovery(hosts)
+        async with running_server(discovery.serve) as discovery_address:
+            config = make_config(first, discovery_address) | {"settings": SETTINGS}
+            config["known"]["hosts"] = hosts
+            async with running_limiter(config, tmp_path) as limiter:
+                watch = await discovery.opened_watch()
+                connections = [await limiter.connect() for _ in addresses]
+                while len(set(endpoints.received_by)) < len(addresses):
+                    for _, writer in connections:
+                        writer.write(http_request())
+                    for reader, _ in connections:
+                        await read_message(reader)
+                await asyncio.sleep(2 * SETTLE_DELAY_SECONDS)
+                reader, writer = connections[0]
+                endpoints.start_rejecting()
+                response = await send_until_forwarded(endpoints, reader, writer)
+                other = "s2" if endpoints.received_by == ["s1"] else "s1"
+                limiter.process.send_signal(signal.SIGSTOP)
+                endpoints.may_respond.set()
+                await asyncio.sleep(0.05)
+                await stop_while_draining(limiter, watch, other, addresses[other])
+                limiter.process.send_signal(signal.SIGCONT)
+                assert " 200 " not in (await response)[0]
+    assert other not in endpoints.received_by
