--- a/soak/cli.py
+++ b/soak/cli.py
@@ -28,11 +28,11 @@
 from soak.request_trace import format_trace
 from soak.scenario import MIN_RUN_SECONDS, Scenario, make_scenario
 from soak.scenario_runner import ScenarioRunner
-from soak.violations import Violation
+from soak.violations import Invariant, Violation
 
 MAX_LIMITERS = 60
 MAX_RUN_SECONDS = 3600.0
-MAX_PRINTED_TRACES = 6  # per seed
+MAX_PRINTED_TRACES = 6  # per seed; more if more invariants were violated
 SEED_RANGE = re.compile(r"(\d{1,9})\.\.(\d{1,9})")
 
 
@@ -110,10 +110,20 @@
     return await ScenarioRunner(scenario, directory, library).run()
 
 
+def _select_for_trace(violations: list[Violation]) -> list[Violation]:
+    """Return the first violation of each invariant, and further ones up to ``MAX_PRINTED_TRACES``."""
+    first_by_invariant = dict[Invariant, Violation]()
+    for violation in violations:
+        first_by_invariant.setdefault(violation.invariant, violation)
+    selected = list(first_by_invariant.values())
+    further = [violation for violation in violations if violation not in selected]
+    return selected + further[: max(0, MAX_PRINTED_TRACES - len(selected))]
+
+
 def _print_verdict(scenario: Scenario, history: History, violations: list[Violation], seconds: float) -> None:
     for error in history.runner_errors:
         print(f"SOAK FAILURE: {error}")
-    for violation in violations[:MAX_PRINTED_TRACES]:
+    for violation in _select_for_trace(violations):
         print(format_trace(history, violation))
     counts = Counter(violation.invariant.value for violation in violations)
     if history.runner_errors:
