Count the silence of a watch from the arrival of its last line, not from its reading

A change that it misses counts as told 6 s after the silence began, so a stall of over 3 s uses up the margin and the grace.

The line's age is asked of the system, as it is for requests; where that is not reported, it counts as 0, as before. The same time is the last contact, by which the age of a new incarnation is limited.

New test: the event loop stands still for 1.5 times the timeout behind a heartbeat.

--- a/quota_gateway/net/discovery/contact.py
+++ b/quota_gateway/net/discovery/contact.py
@@ -14,8 +14,8 @@
         """Start with no line received."""
         self._last_line_at = -math.inf  # seconds of the event loop's clock
 
-    def record_line(self, now: float) -> float:
-        """Record a line that is received at ``now``; return the seconds since the previous line."""
+    def record_line(self, now: float, arrived_at: float) -> float:
+        """Record a line that is read at ``now``; return the seconds since the previous line arrived."""
         elapsed = now - self._last_line_at
-        self._last_line_at = now
+        self._last_line_at = arrived_at
         return elapsed
--- a/quota_gateway/net/discovery/watch_request.py
+++ b/quota_gateway/net/discovery/watch_request.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from quota_gateway.net.common.socket_calls import read_available
+from quota_gateway.net.common.socket_calls import read_available, reports_data_age, seconds_since_last_data
 from quota_gateway.net.discovery.contact import DiscoveryContact
 from quota_gateway.net.discovery.poll_timing import SILENCE_TIMEOUT_SECONDS
 from quota_gateway.net.discovery.watch_event import MalformedEventError, WatchEvent, parse_watch_event
@@ -172,7 +172,7 @@
             if status < MIN_SERVER_ERROR_STATUS and status != STATUS_TOO_MANY_REQUESTS:
                 self._owner.on_version_rejected()
             raise ConnectionError(f"discovery responded with status {status}")
-        self._extend_deadline()
+        self._extend_deadline(self._loop.time())
         self._owner.on_response_started(self)
 
     def on_body(self, body: bytes) -> None:
@@ -187,13 +187,20 @@
         """Handle the end of the response: discovery does not end a watch in normal operation."""
         raise ConnectionError("discovery ended the response")
 
-    def _extend_deadline(self) -> None:
-        self._deadline = self._loop.time() + SILENCE_TIMEOUT_SECONDS
+    def _seconds_since_arrival(self) -> float:
+        """Return the age of the last data in seconds, which is above 0 after a stall; 0 if it is unknown."""
+        if self._transport is None or not reports_data_age(self._transport):
+            return 0.0
+        return seconds_since_last_data(self._transport) or 0.0
+
+    def _extend_deadline(self, last_sign_of_life: float) -> None:
+        self._deadline = last_sign_of_life + SILENCE_TIMEOUT_SECONDS
 
     def _on_line(self, line: bytes) -> None:
-        self._extend_deadline()
-        self.last_line_at = self._loop.time()
-        seconds_since_contact = self._owner.contact.record_line(self.last_line_at)
+        now = self._loop.time()
+        self.last_line_at = max(self.last_line_at, now - self._seconds_since_arrival())
+        self._extend_deadline(self.last_line_at)
+        seconds_since_contact = self._owner.contact.record_line(now, self.last_line_at)
         if not line:  # a heartbeat
             return
         try:
--- a/tests/test_endpoint_watch.py
+++ b/tests/test_endpoint_watch.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -121,6 +122,40 @@
     assert len(discovery.request_paths) == 2
 
 
+@async_test
+async def test_the_silence_of_a_watch_counts_from_the_arrival_of_its_last_line_and_not_from_its_reading(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a silent watch that is restarted late because its last line was read after a stall.
+
+    The event loop, which runs the limiter's watch and discovery, stands still for longer than the timeout
+    after the heartbeat was written, so the heartbeat is read when it is already older than the timeout.
+    """
+    silence_timeout = 0.4
+    monkeypatch.setattr(watch_request, "SILENCE_TIMEOUT_SECONDS", silence_timeout)
+    polled = asyncio.Queue[asyncio.StreamWriter]()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request_path(reader)
+        writer.write(RESPONSE_HEAD + chunk(message(58)))
+        polled.put_nowait(writer)
+        await reader.read()
+
+    async with running_server(serve) as address:
+        watcher = make_watcher(
+            address, lambda _event: None, timing=PollTiming(max_interval=silence_timeout), seed=1
+        )
+        task = asyncio.create_task(watcher.follow())
+        watch = await polled.get()
+        await asyncio.sleep(0.1)
+        watch.write(chunk(b"\n"))
+        time.sleep(1.5 * silence_timeout)  # the stall
+        resumed_at = time.monotonic()
+        await polled.get()
+        task.cancel()
+        assert time.monotonic() - resumed_at < 0.5 * silence_timeout
+
+
 @async_test
 async def test_malformed_lines_are_dropped_and_the_watch_continues() -> None:
     malformed = [
