Soak: time a truncated response by the size that its endpoint sent

Above 64 KiB only the first bytes are timed, and a response that is cut off by its endpoint has failed but is not lost. The checker knew the size of whole bodies only; of a truncated one it now takes the size of the body that the endpoint sent.

The new test has one body of 64 KiB, still a violation, and one that is a byte longer. The trace prints the size.

--- a/soak/request_checks.py
+++ b/soak/request_checks.py
@@ -11,6 +11,7 @@
 from soak.excuses import Excuse
 from soak.fault_kinds import FaultKind
 from soak.history import (
+    TRUNCATED_RESPONSE_STATUS,
     Attempt,
     ClientBehaviour,
     ClientRequest,
@@ -63,7 +64,7 @@
         text = ""
         if request.outcome is RequestOutcome.RESPONSE_RECEIVED:
             delay = _response_delay(history, request)
-            if delay > 0 and not _is_response_time_unbounded(request):
+            if delay > 0 and not _is_response_time_unbounded(history, request):
                 text = f"response {request.status} received {delay:.3f} s after the latest allowed time"
         elif _has_no_response(request) and not _may_lack_response(history, request):
             text = request.outcome.value
@@ -82,7 +83,7 @@
     """
     latest = request.sent_at + request.timeout + RESPONSE_GRACE_SECONDS
     delay = request.ended_at - latest - timing_tolerance(history, request.ended_at)
-    if delay <= 0 or _is_response_time_unbounded(request):
+    if delay <= 0 or _is_response_time_unbounded(history, request):
         return delay
     stopped = _stopped_seconds(history, request)
     queued = _unserved_queue_seconds(history, request)
@@ -103,11 +104,16 @@
     return seconds_without_accepting_process(processes, request.sent_at, request.ended_at)
 
 
-def _is_response_time_unbounded(request: ClientRequest) -> bool:
-    """Whether the response time depends on other requests or the size of a body, not only on the limiter."""
-    return (
-        request.behaviour in (ClientBehaviour.PIPELINING, ClientBehaviour.LONG_UPLOAD)
-        or len(request.body) > LONG_BODY_BYTES
+def _is_response_time_unbounded(history: History, request: ClientRequest) -> bool:
+    """Whether the response time depends on other requests or the size of a body, not only on the limiter.
+
+    Of a truncated response, the client does not have the body, so the endpoints' responses count.
+    """
+    bodies = [request.body]
+    if request.status == TRUNCATED_RESPONSE_STATUS:
+        bodies += [attempt.response for attempt in _attempts_of(history, request)]
+    return request.behaviour in (ClientBehaviour.PIPELINING, ClientBehaviour.LONG_UPLOAD) or any(
+        len(body) > LONG_BODY_BYTES for body in bodies
     )
 
 
--- a/soak/request_trace.py
+++ b/soak/request_trace.py
@@ -43,7 +43,8 @@
         f"  {attempt.endpoint} (incarnation {attempt.incarnation}) connection {attempt.connection}: "
         f"first byte at {attempt.first_byte_at - started_at:.3f} s, "
         f"complete at {attempt.complete_at - started_at:.3f} s, "
-        f"deadline {attempt.propagated_deadline} s, {outcome}, ended at {attempt.ended_at - started_at:.3f} s"
+        f"deadline {attempt.propagated_deadline} s, {outcome}, response of {len(attempt.response)} bytes, "
+        f"ended at {attempt.ended_at - started_at:.3f} s"
     )
 
 
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -12,6 +12,7 @@
 from soak.fault_kinds import FaultKind
 from soak.history import (
     ALL_LIMITERS,
+    TRUNCATED_RESPONSE_STATUS,
     Attempt,
     ClientBehaviour,
     ClientRequest,
@@ -171,6 +172,14 @@
     assert violated_invariants(history) == []
 
 
+def test_a_truncated_response_may_be_late_only_if_its_endpoint_sent_a_long_body() -> None:
+    truncated = replace(REQUEST, status=TRUNCATED_RESPONSE_STATUS, body=b"", ended_at=12.0)
+    history = make_history(truncated, replace(ATTEMPT, response=b"x" * 64 * 1024))
+    assert violated_invariants(history) == [Invariant.EVERY_REQUEST_ANSWERED]
+    history = make_history(truncated, replace(ATTEMPT, response=b"x" * (64 * 1024 + 1)))
+    assert violated_invariants(history) == []
+
+
 def test_a_body_that_no_endpoint_sent_is_found() -> None:
     assert violated_invariants(make_history(REQUEST, replace(ATTEMPT, response=b"bb"))) == [
         Invariant.EVERY_REQUEST_ANSWERED
