Apply a SUSPEND that waited through a stall before forwarding a request

The admin listener is a source of LateInput: it looks at the commands in its sockets and accept queue without consuming them, and applies each SUSPEND at once. The event loop reads and answers the command afterwards, in the order of arrival; suspending an endpoint twice changes nothing.

--- a/quota_gateway/lifecycle/components.py
+++ b/quota_gateway/lifecycle/components.py
@@ -66,6 +66,9 @@
         late_input=late_input,
     )
     discovery = _build_discovery_client(timing, dispatcher, rng)
+    admin = AdminListener(dispatcher) if config.admin else None
+    if admin is not None:
+        late_input.add_source(admin.suspend_received)
     late_input.add_source(process_group.poll_if_late)
     late_input.add_source(discovery.read_received)
     return Components(
@@ -75,7 +78,7 @@
         counter=counter,
         dispatcher=dispatcher,
         listener=ClientListener(dispatcher, settings, limits.clients, metrics),
-        admin=AdminListener(dispatcher) if config.admin else None,
+        admin=admin,
         discovery=discovery,
     )
 
--- a/quota_gateway/net/admin/listener.py
+++ b/quota_gateway/net/admin/listener.py
@@ -15,6 +15,7 @@
 
 from quota_gateway import model
 from quota_gateway.net.common.acceptor import Acceptor, create_bound_socket
+from quota_gateway.net.common.socket_calls import peek
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +43,23 @@
 ReplyCallback = Callable[[CommandReply], None]
 
 
+class _Command(NamedTuple):
+    """A parsed command."""
+
+    kind: model.AdminCommand
+    endpoint: str  # empty if the command takes none
+
+
+def _parse_command(line: bytes) -> _Command | None:
+    """Parse a command without its newline; return None if it is malformed."""
+    name, *arguments = line.removesuffix(b"\r").split(b" ")
+    kind = COMMANDS.get(name)
+    argument_count = 1 if kind in COMMANDS_WITH_ENDPOINT else 0
+    if kind is None or len(arguments) != argument_count or not all(arguments):
+        return None
+    return _Command(kind, arguments[0].decode("utf-8", "replace") if arguments else "")
+
+
 class AdminHandler(Protocol):
     """Executes the commands of operators."""
 
@@ -49,6 +67,10 @@
         """Execute a command and call ``reply`` once; ``endpoint`` is empty if the command takes none."""
 
 
+def _ignore_reply(_reply: CommandReply) -> None:
+    """Handle the reply to a command that will be executed and answered once more."""
+
+
 class _AdminConnection(asyncio.Protocol):
     """One connection to the admin address, which carries one command."""
 
@@ -91,14 +113,18 @@
 
     def _execute(self) -> None:
         self._is_input_complete = True
-        name, *arguments = self._command_text.removesuffix(b"\r").split(b" ")
-        command = COMMANDS.get(name)
-        argument_count = 1 if command in COMMANDS_WITH_ENDPOINT else 0
-        if command is None or len(arguments) != argument_count or not all(arguments):
+        command = _parse_command(self._command_text)
+        if command is None:
             self._reply(CommandReply(succeeded=False))
             return
-        endpoint = arguments[0].decode("utf-8", "replace") if arguments else ""
-        self._listener.handler.on_admin_command(command, endpoint, self._reply)
+        self._listener.handler.on_admin_command(command.kind, command.endpoint, self._reply)
+
+    def unread_line(self) -> bytes:
+        """Return the line of the command if its rest has arrived and is unread; otherwise nothing."""
+        if self._is_input_complete or self._transport is None:
+            return b""
+        descriptor = self._transport.get_extra_info("socket").fileno()
+        return _complete_line(self._command_text + peek(descriptor, MAX_COMMAND_BYTES + 1))
 
     def _on_timeout(self) -> None:
         if not self._is_input_complete:
@@ -127,6 +153,12 @@
             self._transport.abort()
 
 
+def _complete_line(data: bytes) -> bytes:
+    """Return the first line without its newline; nothing if it is incomplete or too long."""
+    line, newline, _ = data.partition(b"\n")
+    return line if newline and len(line) <= MAX_COMMAND_BYTES else b""
+
+
 class AdminListener:
     """Listens on the admin address; keeps at most ``MAX_CONNECTIONS`` connections open."""
 
@@ -136,6 +168,7 @@
         self._connections = dict[_AdminConnection, None]()  # oldest first
         self._socket: socket.socket | None = None  # bound
         self._acceptor: Acceptor | None = None
+        self._is_reading_late_input = False
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Bind, and accept connections at once; return the address. Raises ``OSError``."""
@@ -149,12 +182,38 @@
     def start_accepting(self) -> tuple[str, int]:
         """Accept connections at the bound address from now on, and return it. Raises ``OSError``."""
         assert self._socket is not None
-        self._acceptor = Acceptor(self._socket, lambda: _AdminConnection(self), self._on_accept_error)
+        self._acceptor = Acceptor(
+            self._socket, lambda: _AdminConnection(self), self._on_accept_error, self._on_accepted
+        )
         return self._acceptor.address
 
     def _on_accept_error(self, error: OSError) -> None:
         log.warning("accepting a connection to the admin address failed, continuing to accept: %s", error)
 
+    def suspend_received(self) -> None:
+        """Execute the SUSPEND commands that have arrived and that the event loop has not read yet.
+
+        They bind whether or not they have been read. The event loop reads them later, executes them once
+        more, which changes nothing, and replies.
+        """
+        for connection in list(self._connections):
+            self._suspend(connection.unread_line())
+        if self._acceptor is not None:
+            self._is_reading_late_input = True
+            try:
+                self._acceptor.accept_waiting()
+            finally:
+                self._is_reading_late_input = False
+
+    def _on_accepted(self, accepted: socket.socket) -> None:
+        if self._is_reading_late_input:
+            self._suspend(_complete_line(peek(accepted.fileno(), MAX_COMMAND_BYTES + 1)))
+
+    def _suspend(self, line: bytes) -> None:
+        command = _parse_command(line)
+        if command is not None and command.kind is model.AdminCommand.SUSPEND:
+            self.handler.on_admin_command(command.kind, command.endpoint, _ignore_reply)
+
     def register(self, connection: _AdminConnection) -> None:
         """Register a connection; at the limit, close the oldest one."""
         if len(self._connections) >= MAX_CONNECTIONS:
@@ -168,7 +227,9 @@
 
     async def close(self) -> None:
         """Stop listening and close all connections."""
-        if self._acceptor is not None:
-            await self._acceptor.close()
+        acceptor = self._acceptor
+        self._acceptor = None
+        if acceptor is not None:
+            await acceptor.close()
         for connection in list(self._connections):
             connection.abort()
--- a/quota_gateway/net/common/acceptor.py
+++ b/quota_gateway/net/common/acceptor.py
@@ -67,11 +67,16 @@
     """Accepts connections from one listening socket until it is closed."""
 
     def __init__(
-        self, listening: socket.socket, make_protocol: ProtocolFactory, on_error: ErrorObserver
+        self,
+        listening: socket.socket,
+        make_protocol: ProtocolFactory,
+        on_error: ErrorObserver,
+        on_accepted: Callable[[socket.socket], None] | None = None,
     ) -> None:
         """Listen at the address of a bound socket; ``on_error`` is called with the error of each failure.
 
-        The socket may listen already. Raises ``OSError`` if another socket listens at the address.
+        ``on_accepted`` is called with each accepted socket; its protocol is created later. The socket may
+        listen already. Raises ``OSError`` if another socket listens at the address.
         """
         if not is_listening(listening):
             listening.listen(ACCEPT_QUEUE_CONNECTIONS)
@@ -80,9 +85,10 @@
         self._listening = listening
         self._make_protocol = make_protocol
         self._on_error = on_error
+        self._on_accepted = on_accepted
         self._retry_timer: asyncio.TimerHandle | None = None
         self._transport_tasks = set[asyncio.Task[None]]()
-        self._loop.add_reader(listening, self._accept)
+        self._loop.add_reader(listening, self.accept_waiting)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -90,7 +96,7 @@
         name = self._listening.getsockname()
         return name[0], name[1]
 
-    def _accept(self) -> None:
+    def accept_waiting(self) -> None:
         """Accept the waiting connections, up to ``MAX_ACCEPTS_PER_ITERATION``."""
         for _ in range(MAX_ACCEPTS_PER_ITERATION):
             try:
@@ -106,6 +112,8 @@
                 self._start_transport(accepted)
 
     def _start_transport(self, accepted: socket.socket) -> None:
+        if self._on_accepted is not None:
+            self._on_accepted(accepted)
         task = self._loop.create_task(self._make_transport(accepted))
         self._transport_tasks.add(task)
         task.add_done_callback(self._transport_tasks.discard)
@@ -127,8 +135,8 @@
 
     def _resume(self) -> None:
         self._retry_timer = None
-        self._loop.add_reader(self._listening, self._accept)
-        self._accept()
+        self._loop.add_reader(self._listening, self.accept_waiting)
+        self.accept_waiting()
 
     async def close(self, drain_seconds: float | None = None) -> None:
         """Close the listening socket.
--- a/quota_gateway/net/common/socket_calls.py
+++ b/quota_gateway/net/common/socket_calls.py
@@ -65,6 +65,19 @@
         return b""
 
 
+def peek(descriptor: int, size: int) -> bytes:
+    """Return received bytes without consuming them; nothing if there are none, or after an error."""
+    if descriptor < 0:
+        return b""
+    borrowed = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=descriptor)
+    try:
+        return borrowed.recv(size, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError:
+        return b""
+    finally:
+        borrowed.detach()
+
+
 def seconds_since_last_data(transport: asyncio.Transport) -> float | None:
     """Return the seconds since the last data segment arrived; None if the system does not report them."""
     with contextlib.suppress(OSError, struct.error):
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -17,8 +17,9 @@
 import pytest
 
 from quota_gateway.net.upstream.idle_connections import SETTLE_DELAY_SECONDS
+from tests.admin_client import send_command
 from tests.discovery_server import RESPONSE_HEAD, chunk, message, read_request_path
-from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, make_config, running_limiter
+from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, free_port, make_config, running_limiter
 from tests.loopback import (
     OK_RESPONSE,
     ScriptedEndpoint,
@@ -34,6 +35,7 @@
 SLOW_START = DRAIN_GRACE + 0.2  # seconds from the start of a process to the first line of its code
 HEARTBEAT_INTERVAL = 1.0  # seconds
 SERVICE_TIME = 0.05  # seconds; concurrent requests go to different endpoints
+SUSPEND_DELAY = 1.0  # seconds from the command SUSPEND until it binds, whether or not it was answered
 READY_WITHIN = 6.0  # seconds from the start of a process
 SETTINGS = WIRE_SETTINGS | {"contract": {"stop_sending_within_s": DRAIN_GRACE}}
 
@@ -283,3 +285,36 @@
                 limiter.process.send_signal(signal.SIGCONT)
                 assert " 200 " not in (await response)[0]
     assert other not in endpoints.received_by
+
+
+@async_test
+async def test_a_request_is_not_forwarded_to_an_endpoint_whose_suspend_command_waited_through_a_stall(
+    tmp_path: Path,
+) -> None:
+    """Guards against a command that is read after the request: it binds 1 s after it was sent, and the grace.
+
+    The first byte of the request arrives before the command, so the event loop reads the request first.
+    """
+    endpoint = ScriptedEndpoint()
+    async with running_server(endpoint.handle_connection) as address:
+        discovery = PushingDiscovery([host_entry("s1", address)])
+        port = free_port()
+        async with running_server(discovery.serve) as discovery_address:
+            config = make_config(address, discovery_address) | {"settings": SETTINGS}
+            environment = {"LB_MGMT": f"127.0.0.1:{port}", "TMPDIR": str(tmp_path)}
+            async with running_limiter(config, tmp_path, environment=environment) as limiter:
+                reader, writer = await limiter.connect()
+                writer.write(http_request())
+                assert " 200 " in (await read_message(reader))[0]
+                limiter.process.send_signal(signal.SIGSTOP)
+                request = http_request()
+                writer.write(request[:1])
+                await asyncio.sleep(0.05)
+                command = asyncio.create_task(send_command(port, b"SUSPEND s1"))
+                await asyncio.sleep(SUSPEND_DELAY + DRAIN_GRACE + 0.15)
+                writer.write(request[1:])
+                await asyncio.sleep(0.05)
+                limiter.process.send_signal(signal.SIGCONT)
+                assert " 429 " in (await read_message(reader))[0]
+                assert await command == "SUCCESS\n"
+    assert len(endpoint.requests) == 1
