--- a/soak/ports.py
+++ b/soak/ports.py
@@ -1,4 +1,4 @@
-"""Allocates loopback ports to limiters, outside the range that the system uses for outgoing connections.
+"""Allocates loopback ports to limiters of soak runs and tests, outside the range of outgoing connections.
 
 A limiter keeps its port across restarts, so no outgoing connection may occupy it in the meantime.
 """
--- a/tests/gateway_process.py
+++ b/tests/gateway_process.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Mapping
@@ -14,6 +13,7 @@
 from typing import Any
 
 from soak.fault_control import FaultControl
+from soak.ports import free_port
 from tests.loopback import read_message
 
 POLL_INTERVAL = 0.02  # seconds between two attempts to connect to a limiter that is starting
@@ -25,14 +25,6 @@
 }  # fmt: skip
 
 
-def free_port() -> int:
-    """Return a TCP port on which nothing listens."""
-    with socket.socket() as candidate:
-        candidate.bind(("127.0.0.1", 0))
-        port: int = candidate.getsockname()[1]
-        return port
-
-
 def make_config(endpoint: str, discovery: str = "127.0.0.1:1") -> dict[str, Any]:
     """Return a configuration whose initial endpoint list has one endpoint, at the given address."""
     host = {"host": "s1", "dial": endpoint, "site": "a", "block": 0, "health": "ready", "born_ms": 0}
--- a/tests/test_accept_errors.py
+++ b/tests/test_accept_errors.py
@@ -8,8 +8,9 @@
 import pytest
 
 from soak.fault_control import SystemCall
+from soak.ports import free_port
 from tests.admin_client import send_command
-from tests.gateway_process import ProcessFaults, free_port, make_config, running_limiter
+from tests.gateway_process import ProcessFaults, make_config, running_limiter
 from tests.loopback import ScriptedEndpoint, async_test, http_request, read_message, running_server
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -15,8 +15,9 @@
 
 from quota_gateway import model
 from quota_gateway.net.admin import listener as admin
+from soak.ports import free_port
 from tests.admin_client import send_command, stalled_connections
-from tests.gateway_process import free_port, make_config, running_limiter
+from tests.gateway_process import make_config, running_limiter
 from tests.loopback import ScriptedEndpoint, run, running_server
 
 MALFORMED_COMMANDS = (
--- a/tests/test_descriptor_limit.py
+++ b/tests/test_descriptor_limit.py
@@ -18,8 +18,9 @@
 
 from quota_gateway import model
 from quota_gateway.net.client import listener
+from soak.ports import free_port
 from tests.client_helpers import limiter_with_endpoint, on_timer, reject, take_no_action
-from tests.gateway_process import LimiterProcess, free_port, make_config, running_limiter
+from tests.gateway_process import LimiterProcess, make_config, running_limiter
 from tests.loopback import (
     LoopbackLimiter,
     ScriptedDecisions,
--- a/tests/test_failing_folder.py
+++ b/tests/test_failing_folder.py
@@ -11,8 +11,9 @@
 import pytest
 
 from soak.fault_control import DirectoryCalls
+from soak.ports import free_port
 from tests.admin_client import fetch_metrics, send_command
-from tests.gateway_process import LimiterProcess, ProcessFaults, free_port, make_config, running_limiter
+from tests.gateway_process import LimiterProcess, ProcessFaults, make_config, running_limiter
 from tests.loopback import ScriptedEndpoint, async_test, http_request, read_message, running_server
 
 MAX_REPLY_SECONDS = 1.0
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -12,11 +12,11 @@
 
 from quota_gateway.lifecycle.shutdown import KILL_GRACE_SECONDS, MAX_DEADLINE_SECONDS
 from soak.fault_control import DirectoryCalls
+from soak.ports import free_port
 from tests.gateway_process import (
     WIRE_SETTINGS,
     LimiterProcess,
     ProcessFaults,
-    free_port,
     make_config,
     running_limiter,
     starting_limiter,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,8 +10,9 @@
 import pytest
 
 from quota_gateway.net.common.metrics import Metrics
+from soak.ports import free_port
 from tests.admin_client import fetch_metrics, parse_metrics, send_command, stalled_connections
-from tests.gateway_process import LimiterProcess, free_port, make_config, running_limiter
+from tests.gateway_process import LimiterProcess, make_config, running_limiter
 from tests.loopback import (
     OK_RESPONSE,
     ScriptedEndpoint,
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -21,8 +21,9 @@
 from quota_gateway.net.process_group.group import ProcessGroup
 from quota_gateway.net.process_group.shared_files import FileLock
 from quota_gateway.state import Account
+from soak.ports import free_port
 from tests.admin_client import fetch_metrics, send_command
-from tests.gateway_process import LimiterProcess, free_port, make_config, running_limiter
+from tests.gateway_process import LimiterProcess, make_config, running_limiter
 from tests.loopback import ScriptedEndpoint, async_test, http_request, read_message, running_server
 from tests.simulation import GatewaySimulation, endpoint_list, make_request, make_settings
 
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -13,8 +13,9 @@
 
 from quota_gateway import model
 from quota_gateway.settings_parser import SettingsError, check_reloaded_settings, parse_settings
+from soak.ports import free_port
 from tests.admin_client import fetch_metrics
-from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, free_port, make_config, running_limiter
+from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, make_config, running_limiter
 from tests.loopback import ScriptedEndpoint, async_test, http_request, read_message, running_server
 from tests.simulation import (
     IDEMPOTENT_CLASS,
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -17,9 +17,10 @@
 import pytest
 
 from quota_gateway.net.upstream.idle_connections import SETTLE_DELAY_SECONDS
+from soak.ports import free_port
 from tests.admin_client import send_command
 from tests.discovery_server import RESPONSE_HEAD, chunk, message, read_request_path
-from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, free_port, make_config, running_limiter
+from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, make_config, running_limiter
 from tests.loopback import (
     OK_RESPONSE,
     ScriptedEndpoint,
