--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -263,7 +263,7 @@
 async def test_a_draining_process_accepts_clients_while_no_other_process_does(tmp_path: Path) -> None:
     endpoint = ScriptedEndpoint()
     port = free_port()
-    with socket.create_server(("127.0.0.1", 0)) as listener:
+    with socket.create_server(("127.0.0.1", free_port())) as listener:
         deployment = Deployment(tmp_path, listener, inherited=False)
     async with (
         running_server(endpoint.handle_connection) as address,
