Slow start for an endpoint that restarted while the limiter did, whatever its clock says

Cause: a process that has had no contact believes a start time, since the list of its configuration may be old. But a start time that differs from the configuration's shows a restart since that list was written, perhaps a second ago; a clock that is an hour wrong hid it.

Such a restart is now as old as its start time says only if that is within the warm-up (or 6 s), and has just happened otherwise. An endpoint that the configuration does not list is believed as before. The price: one slow start too many if the configuration is older than the warm-up.

test_start_time_is_trusted_at_the_first_contact_without_a_handover stated the old rule for both cases, and is replaced by two tests: three start times of a listed endpoint (the wrong one failed before), and an endpoint that is not listed.

--- a/quota_gateway/decisions/endpoint_set.py
+++ b/quota_gateway/decisions/endpoint_set.py
@@ -57,11 +57,16 @@
 
     def _apply_endpoint(self, now: float, endpoint: model.Endpoint, seconds_since_contact: float) -> None:
         state = self.by_name.get(endpoint.name)
+        is_listed_before = state is not None
         if state is None:
             state = self.by_name[endpoint.name] = EndpointState(endpoint)
         is_new_incarnation = state.update(endpoint)
-        if not math.isfinite(seconds_since_contact) and state.confirmed_at is not None:
-            seconds_since_contact = now - state.confirmed_at
+        if not math.isfinite(seconds_since_contact):
+            if state.confirmed_at is not None:
+                seconds_since_contact = now - state.confirmed_at
+            elif is_listed_before:
+                # The endpoint has restarted since the configuration was written, perhaps just now.
+                seconds_since_contact = 0.0
         age = self._age(now, endpoint, seconds_since_contact)
         is_young = age < self.context.settings.warm_up_time
         if state.available and is_new_incarnation and is_young:
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 from random import Random
 
+import pytest
+
 from quota_gateway import model
 from quota_gateway.decisions.gateway import Gateway
 from quota_gateway.state import EndpointState
@@ -187,10 +189,24 @@
     assert state.warming_since == 10_002.0
 
 
-def test_start_time_is_trusted_at_the_first_contact_without_a_handover() -> None:
-    """The endpoint list of the configuration may be stale, so the restart may have been long ago."""
+@pytest.mark.parametrize(("stated_age", "assumed_age"), [(3600.0, 0.0), (-3600.0, 0.0), (4.0, 4.0)])
+def test_an_endpoint_that_restarted_before_the_first_contact_is_warming_up_unless_its_start_time_is_plausible(
+    stated_age: float, assumed_age: float
+) -> None:
+    """Guards against full traffic to an endpoint that restarts, with a wrong clock, while the limiter does.
+
+    The configuration has the endpoint's earlier incarnation, and does not say how old that entry is.
+    """
     simulation = GatewaySimulation(make_settings(), now=10_000.0)
     simulation.feed(started_endpoint("new", 5000.0))
+    simulation.feed(started_endpoint("new", 10_000.0 - stated_age))
+    assert simulation.gateway.endpoints.by_name["new"].warming_since == 10_000.0 - assumed_age
+
+
+def test_start_time_of_an_endpoint_that_the_configuration_does_not_list_is_trusted() -> None:
+    """The endpoint list of the configuration may be stale, so the start may have been long ago."""
+    simulation = GatewaySimulation(make_settings(), now=10_000.0)
+    simulation.feed(started_endpoint("other", 5000.0))
     simulation.feed(started_endpoint("new", 10_000.0 - 3600.0))
     assert simulation.gateway.endpoints.by_name["new"].warming_since is None
 
