Ask discovery's agent at once if the watch was lost and the process stood still

The client of discovery knows when its list was last confirmed: by a line, by an open watch without unread data, or by a poll that got no answer when it was due (a discovery that is down has no news). Without a stall that is at most the poll interval ago, 0.6 times the drain notice. A polled discovery is not asked.

--- a/quota_gateway/net/discovery/client.py
+++ b/quota_gateway/net/discovery/client.py
@@ -6,16 +6,20 @@
 import contextlib
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from quota_gateway.net.discovery.contact import DiscoveryContact
+from quota_gateway.net.discovery.list_request import fetch_list
 from quota_gateway.net.discovery.poll_timing import DEFAULT_POLL_TIMING, PollTiming
 from quota_gateway.net.discovery.watch_event import WatchEvent
 from quota_gateway.net.discovery.watcher import EndpointWatcher
 
 log = logging.getLogger(__name__)
 
+# The event loop may be blocked for this time; the platform allows 0.15 s between a clock read and a write.
+FETCH_TIMEOUT_SECONDS = 0.1
+
 
 @dataclass(frozen=True, slots=True, eq=False)
 class _Watch:
@@ -41,7 +45,8 @@
         self._on_event = on_event
         self._timing = timing
         self._rng = rng or Random()
-        self._contact = DiscoveryContact()
+        self._loop = asyncio.get_running_loop()
+        self._contact = DiscoveryContact(self._loop.time())
         self._address: tuple[str, int] | None = None
         self._has_event = asyncio.Event()  # set once discovery has sent an event
         self._established: _Watch | None = None  # the watch that sent the last event
@@ -76,10 +81,29 @@
         return self._has_event.is_set()
 
     def read_received(self) -> None:
-        """Handle the events that have arrived and that the event loop has not read yet."""
+        """Handle the events that have arrived and that the event loop has not read yet.
+
+        If no watch is open and the process was stalled since the last poll, ask the agent at once: the drain
+        notice of a change may have passed.
+        """
         for watch in (self._established, self._candidate):
             if watch is not None:
                 watch.watcher.read_received()
+        now = self._loop.time()
+        is_confirmed = now - self._contact.confirmed_at <= self._timing.max_unconfirmed_seconds
+        if self._address is not None and not is_confirmed:
+            self._contact.confirm(now)  # also if the agent does not respond: discovery is down then
+            self._fetch_list(*self._address)
+
+    def _fetch_list(self, host: str, port: int) -> None:
+        event = fetch_list(host, port, FETCH_TIMEOUT_SECONDS)
+        if event is None:
+            return
+        log.info("endpoint list version %d fetched after a stall", event.version)
+        now = self._loop.time()
+        seconds_since_contact = self._contact.record_line(now, now)
+        update = replace(event.update, seconds_since_contact=seconds_since_contact)
+        self._on_event(replace(event, update=update))
 
     def close(self) -> None:
         """Stop following."""
--- a/quota_gateway/net/discovery/poll_timing.py
+++ b/quota_gateway/net/discovery/poll_timing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from quota_gateway.net.common.backoff import MAX_POLL_INTERVAL_SECONDS
@@ -13,6 +14,8 @@
 # A starting process waits for its first event from discovery for the time of this number of polls, but not
 # longer than the time limit: it must be ready within 6 s.
 FIRST_EVENT_POLLS = 2
+# Failed polls confirm the list once per poll interval. For a local agent that is 0.6 times the drain notice.
+MAX_UNCONFIRMED_POLLS = 1.25
 MAX_FIRST_EVENT_TIMEOUT_SECONDS = 3.0
 
 
@@ -26,6 +29,14 @@
     # Whether discovery pushes: its agent on this machine serves only this limiter, and responds at once.
     is_local_agent: bool = False
 
+    @property
+    def max_unconfirmed_seconds(self) -> float:
+        """The longest time without a confirmation of the list, in seconds, unless the process is stalled.
+
+        The drain notice of a local agent is longer. A polled discovery is not asked ahead of time.
+        """
+        return MAX_UNCONFIRMED_POLLS * self.max_interval if self.is_local_agent else math.inf
+
     @property
     def first_event_timeout(self) -> float:
         """The longest time that a starting process waits for its first event from discovery, in seconds."""
--- a/quota_gateway/net/discovery/watch_request.py
+++ b/quota_gateway/net/discovery/watch_request.py
@@ -11,7 +11,13 @@
 
 import httptools
 
-from quota_gateway.net.common.socket_calls import read_available, reports_data_age, seconds_since_last_data
+from quota_gateway.net.common.socket_calls import (
+    PeerState,
+    poll_peer,
+    read_available,
+    reports_data_age,
+    seconds_since_last_data,
+)
 from quota_gateway.net.discovery.contact import DiscoveryContact
 from quota_gateway.net.discovery.poll_timing import SILENCE_TIMEOUT_SECONDS
 from quota_gateway.net.discovery.watch_event import MalformedEventError, WatchEvent, parse_watch_event
@@ -73,6 +79,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._is_parsing = False
+        self._has_started = False  # whether the response has started: the request is the watch
         self._error: Exception | None = None  # why the request or its event stream has ended
         self._activity = asyncio.Event()  # set when data arrives and when the request ends
         self.task = self._loop.create_task(self._run())
@@ -131,6 +138,10 @@
         # The event loop is notified of an error or of the end of the stream, too.
         while self._error is None and (data := read_available(transport)):
             self.data_received(data)
+        now = self._loop.time()
+        is_open = self._has_started and poll_peer(transport) is PeerState.CONNECTED
+        if is_open and self._error is None and now < self._deadline:
+            self._owner.contact.confirm(now)
 
     # Methods of asyncio.Protocol.
 
@@ -173,6 +184,7 @@
                 self._owner.on_version_rejected()
             raise ConnectionError(f"discovery responded with status {status}")
         self._extend_deadline(self._loop.time())
+        self._has_started = True
         self._owner.on_response_started(self)
 
     def on_body(self, body: bytes) -> None:
--- a/quota_gateway/net/discovery/watcher.py
+++ b/quota_gateway/net/discovery/watcher.py
@@ -104,6 +104,9 @@
             request = self._latest = self._start_request()
             await self._wait_for_response(request, first_answered)
             if not first_answered.done():
+                # Behind a stall, the response may have arrived unread after the time in which it was due.
+                due_at = request.started_at + self._timing.response_timeout
+                self.contact.confirm(min(due_at, asyncio.get_running_loop().time()))
                 return request
         watch = self._latest = first_answered.result()
         await asyncio.wait([watch.task])
--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -142,9 +142,12 @@
         self._watches = asyncio.Queue[asyncio.StreamWriter]()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Send the complete list, then heartbeats."""
-        await read_request_path(reader)
+        """Send the complete list, then heartbeats if the request is for a watch."""
+        path = await read_request_path(reader)
         line = json.dumps({"seq": 41, "whole": True, "hosts": self._hosts}).encode() + b"\n"
+        if "follow=1" not in path:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(line), line))
+            return
         writer.write(RESPONSE_HEAD + chunk(line))
         self._watches.put_nowait(writer)
         while True:
@@ -288,6 +291,46 @@
     assert other not in endpoints.received_by
 
 
+class ReopeningDiscovery(PushingDiscovery):
+    """Discovery whose list changes: it sends the current one to new watches and to requests for the list."""
+
+    def replace_list(self, hosts: list[dict[str, Any]]) -> None:
+        """Send another list from now on."""
+        self._hosts = hosts
+
+
+@async_test
+async def test_a_request_after_a_stall_is_not_forwarded_by_the_list_of_a_watch_that_was_reset_meanwhile(
+    tmp_path: Path,
+) -> None:
+    """Guards against a list that nobody confirms: the watch is gone, and the drain came after it.
+
+    The first byte of the request arrives before the reset, so the event loop reads the request first.
+    """
+    endpoint = ScriptedEndpoint()
+    async with running_server(endpoint.handle_connection) as address:
+        discovery = ReopeningDiscovery([host_entry("s1", address)])
+        async with running_server(discovery.serve) as discovery_address:
+            config = make_config(address, discovery_address) | {"settings": SETTINGS}
+            async with running_limiter(config, tmp_path) as limiter:
+                watch = await discovery.opened_watch()
+                reader, writer = await limiter.connect()
+                writer.write(http_request())
+                assert " 200 " in (await read_message(reader))[0]
+                limiter.process.send_signal(signal.SIGSTOP)
+                request = http_request()
+                writer.write(request[:1])
+                await asyncio.sleep(0.05)
+                watch.transport.abort()
+                discovery.replace_list([host_entry("s1", address) | {"health": "draining"}])
+                await asyncio.sleep(DRAIN_GRACE + 0.15)
+                writer.write(request[1:])
+                await asyncio.sleep(0.05)
+                limiter.process.send_signal(signal.SIGCONT)
+                assert " 429 " in (await read_message(reader))[0]
+    assert len(endpoint.requests) == 1
+
+
 @async_test
 async def test_a_request_is_not_forwarded_to_an_endpoint_whose_suspend_command_waited_through_a_stall(
     tmp_path: Path,
