--- a/soak/limiter.py
+++ b/soak/limiter.py
@@ -165,7 +165,10 @@
         while time.monotonic() < deadline:
             if not started.is_running:
                 log = started.log_text[-LOG_TAIL_CHARACTERS:]
-                raise SoakError(f"limiter {self.index} exited before it was ready; its log ends with: {log}")
+                code = started.process.returncode
+                raise SoakError(
+                    f"limiter {self.index} exited with code {code} before it was ready; its log ends with: {log}"
+                )
             if await started.send_command("STATUS") == SUCCESS:
                 started.lifetime.record_ready()
                 return
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -78,6 +78,8 @@
     "endpoint list: %s",
     "starting with endpoint list %s",
     "first event, endpoint list version %d",
+    "starting without contact to discovery",
+    "fetched after a stall",
     ": slow start",
     "body stream to or from %s stalled",
     "a client accepted no data of its",
