--- a/soak/limiter.py
+++ b/soak/limiter.py
@@ -167,7 +167,8 @@
                 log = started.log_text[-LOG_TAIL_CHARACTERS:]
                 code = started.process.returncode
                 raise SoakError(
-                    f"limiter {self.index} exited with code {code} before it was ready; its log ends with: {log}"
+                    f"limiter {self.index} exited with code {code} before it was ready; "
+                    f"its log ends with: {log}"
                 )
             if await started.send_command("STATUS") == SUCCESS:
                 started.lifetime.record_ready()
