--- a/quota_gateway/net/common/late_input.py
+++ b/quota_gateway/net/common/late_input.py
@@ -30,7 +30,7 @@
         self._is_reading = False
 
     def add_source(self, read: Callable[[], None]) -> None:
-        """Add a source; ``read`` handles what it has received and returns at once."""
+        """Add a source; ``read`` handles the input that the source has received, and returns at once."""
         self._sources.append(read)
 
     def read_if_due(self) -> None:
--- a/quota_gateway/net/discovery/contact.py
+++ b/quota_gateway/net/discovery/contact.py
@@ -6,7 +6,7 @@
 
 
 class DiscoveryContact:
-    """What was last heard of discovery, at any of its addresses. Times are of the event loop's clock.
+    """The last contact with discovery, at any of its addresses. Times are of the event loop's clock.
 
     The list is confirmed while a watch is open and nothing on it is unread. An unanswered request confirms it
     too: a discovery that is down has no news.
--- a/quota_gateway/net/discovery/watch_request.py
+++ b/quota_gateway/net/discovery/watch_request.py
@@ -205,8 +205,8 @@
             return 0.0
         return seconds_since_last_data(self._transport) or 0.0
 
-    def _extend_deadline(self, last_sign_of_life: float) -> None:
-        self._deadline = last_sign_of_life + SILENCE_TIMEOUT_SECONDS
+    def _extend_deadline(self, last_line_at: float) -> None:
+        self._deadline = last_line_at + SILENCE_TIMEOUT_SECONDS
 
     def _on_line(self, line: bytes) -> None:
         now = self._loop.time()
--- a/soak/process_faults.py
+++ b/soak/process_faults.py
@@ -10,15 +10,14 @@
 from contextlib import contextmanager
 from typing import Any, ClassVar
 
-from soak.endpoints import SoakEndpoint
+from soak.endpoint_drains import EndpointDrains, seconds_beyond_drain_grace
 from soak.environment import Environment
 from soak.fault_control import DirectoryCalls
 from soak.fault_kinds import FaultKind
-from soak.history import EndpointHealth, LimiterState, Span, Suspension
+from soak.history import LimiterState, Span, Suspension
 from soak.limiter import SUCCESS, Limiter
 from soak.limiter_process import LimiterProcess
 from soak.scenario import Fault
-from soak.settings import DRAIN_GRACE_SECONDS
 
 OLD_DISCOVERY_SECONDS = 1.5  # from SIGHUP until the connections to the old discovery address are reset
 RELOAD_SECONDS = 4.0  # from SIGHUP until the new configuration has to be in force
@@ -43,11 +42,6 @@
 UPGRADE_AFTER_SUSPENSION_SECONDS = 0.3
 # With an upgrade, the suspension ends this long after the upgrade and the fault's duration.
 SUSPENSION_EXTRA_SECONDS_WITH_UPGRADE = 2.0
-DRAINED_ENDPOINTS = 3
-# Time beyond the drain grace for which a process starts or is stopped while endpoints drain.
-MIN_SECONDS_AFTER_DRAIN_GRACE = 0.3
-SECONDS_AFTER_DRAIN_GRACE_RANGE = 0.5  # a random part of it is added to the least time
-DRAIN_EXTRA_SECONDS = 1.0  # the endpoints drain for this time and the fault's duration after the burst
 BURST_REQUESTS = 16
 CONNECT_SECONDS = 0.05  # until the requests to a stopped process are in its sockets
 
@@ -133,10 +127,10 @@
             if process is not None:
                 with self._blocked_connects(limiter):
                     await limiter.terminate(process)
-            drained = self._start_drains(fault)
-            await self._start_process(limiter, _seconds_beyond_drain_grace(fault))
+            drains = EndpointDrains.start(self._environment, fault)
+            await self._start_process(limiter, seconds_beyond_drain_grace(fault))
         self._environment.clients[limiter.index].send_burst(BURST_REQUESTS)
-        await self._end_drains(drained, fault)
+        await drains.end_after(fault.duration)
 
     async def _stop_during_drain(self, limiter: Limiter, fault: Fault) -> None:
         process = limiter.current_process
@@ -144,29 +138,12 @@
             return
         with self._history.span(LimiterState.STOPPED, limiter.index):
             process.send_signal(signal.SIGSTOP)
-            drained = self._start_drains(fault)
-            await asyncio.sleep(_seconds_beyond_drain_grace(fault))
+            drains = EndpointDrains.start(self._environment, fault)
+            await asyncio.sleep(seconds_beyond_drain_grace(fault))
             self._environment.clients[limiter.index].send_burst(BURST_REQUESTS)
             await asyncio.sleep(CONNECT_SECONDS)
             process.send_signal(signal.SIGCONT)
-        await self._end_drains(drained, fault)
-
-    def _start_drains(self, fault: Fault) -> list[SoakEndpoint]:
-        """Drain endpoints, the same ones for each limiter of a fault; return those that did not drain yet."""
-        endpoints = self._environment.endpoints
-        first = int(fault.draw * len(endpoints))
-        chosen = [endpoints[(first + number) % len(endpoints)] for number in range(DRAINED_ENDPOINTS)]
-        drained = [endpoint for endpoint in chosen if endpoint.health is EndpointHealth.READY]
-        for endpoint in drained:
-            endpoint.start_draining()
-            self._environment.publish(endpoint)
-        return drained
-
-    async def _end_drains(self, endpoints: list[SoakEndpoint], fault: Fault) -> None:
-        await asyncio.sleep(fault.duration + DRAIN_EXTRA_SECONDS)
-        for endpoint in endpoints:
-            endpoint.end_draining()
-            self._environment.publish(endpoint)
+        await drains.end_after(fault.duration)
 
     async def _restart_while_stopped(self, limiter: Limiter, fault: Fault) -> None:
         process = limiter.current_process
@@ -339,9 +316,3 @@
         FaultKind.STOP_DURING_DRAIN: _stop_during_drain,
     }
     KINDS: ClassVar[frozenset[FaultKind]] = frozenset(INJECTIONS)
-
-
-def _seconds_beyond_drain_grace(fault: Fault) -> float:
-    """Return a time that is longer than the drain grace, in seconds."""
-    extra_seconds = MIN_SECONDS_AFTER_DRAIN_GRACE + SECONDS_AFTER_DRAIN_GRACE_RANGE * fault.draw
-    return DRAIN_GRACE_SECONDS + extra_seconds
