--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -16,11 +16,18 @@
 
 import pytest
 
+from quota_gateway.net.discovery.poll_timing import MAX_FIRST_EVENT_TIMEOUT_SECONDS
 from quota_gateway.net.upstream.idle_connections import SETTLE_DELAY_SECONDS
 from soak.ports import free_port
 from tests.admin_client import send_command
 from tests.discovery_server import RESPONSE_HEAD, chunk, message, read_request_path
-from tests.gateway_process import WIRE_SETTINGS, LimiterProcess, make_config, running_limiter
+from tests.gateway_process import (
+    WIRE_SETTINGS,
+    LimiterProcess,
+    make_config,
+    running_limiter,
+    starting_limiter,
+)
 from tests.loopback import (
     OK_RESPONSE,
     ScriptedEndpoint,
@@ -134,6 +141,27 @@
             assert " 200 " in await send_until_answered(config["listen"])
 
 
+@async_test
+async def test_a_process_that_stands_still_while_it_waits_for_discovery_sends_nothing_by_its_old_list(
+    tmp_path: Path,
+) -> None:
+    """Guards against a wait whose timeout passes in a stall, while the reply is in the socket."""
+    endpoint = ScriptedEndpoint()
+    async with running_server(endpoint.handle_connection) as address:
+        discovery = DiscoveryAhead(newer_list(address, health="draining"))
+        async with running_server(discovery.serve) as discovery_address:
+            config = make_config(address, discovery_address) | {"settings": SETTINGS}
+            async with starting_limiter(config, tmp_path) as limiter:
+                request = asyncio.create_task(send_until_answered(config["listen"]))
+                await discovery.polled.wait()
+                limiter.process.send_signal(signal.SIGSTOP)
+                discovery.may_reply.set()
+                await asyncio.sleep(MAX_FIRST_EVENT_TIMEOUT_SECONDS)
+                limiter.process.send_signal(signal.SIGCONT)
+                assert " 200 " not in await request
+    assert endpoint.requests == []
+
+
 class PushingDiscovery:
     """Discovery that sends the configuration's list first, and then what the test writes to the watch."""
 
