Discovery: one decoder of events; a fetched list ends the wait of a starting process

The list that is fetched after a stall did not count as the first event, so a process that fetched it while it started went on waiting until the timeout. The rule on empty complete lists stood in the watch and in the list request; both use decode_watch_event now. The comment of a constant had been split by another one, and two doc comments said that late input is read without waiting, which the fetch is not.

New test: a discovery that answers requests for the list only.

--- a/quota_gateway/net/common/late_input.py
+++ b/quota_gateway/net/common/late_input.py
@@ -18,7 +18,7 @@
 
 
 class LateInput:
-    """Reads its sources, without waiting, if that was not done within ``MAX_AGE_SECONDS``."""
+    """Reads its sources unless that was done within ``MAX_AGE_SECONDS``."""
 
     __slots__ = ("_clock", "_is_reading", "_read_at", "_sources")
 
@@ -30,7 +30,7 @@
         self._is_reading = False
 
     def add_source(self, read: Callable[[], None]) -> None:
-        """Add a source; ``read`` handles the input that the source has received, and returns at once."""
+        """Add a source; ``read`` handles what it has received, and blocks for 0.1 s at most."""
         self._sources.append(read)
 
     def read_if_due(self) -> None:
--- a/quota_gateway/net/discovery/client.py
+++ b/quota_gateway/net/discovery/client.py
@@ -103,7 +103,7 @@
         now = self._loop.time()
         seconds_since_contact = self._contact.record_line(now, now)
         update = replace(event.update, seconds_since_contact=seconds_since_contact)
-        self._on_event(replace(event, update=update))
+        self._handle(replace(event, update=update))
 
     def close(self) -> None:
         """Stop following."""
@@ -120,5 +120,8 @@
             if previous is not None:
                 previous.task.cancel()
         if watch is self._established:
-            self._on_event(event)
-            self._has_event.set()
+            self._handle(event)
+
+    def _handle(self, event: WatchEvent) -> None:
+        self._on_event(event)
+        self._has_event.set()
--- a/quota_gateway/net/discovery/list_request.py
+++ b/quota_gateway/net/discovery/list_request.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import json
 import logging
 import socket
 import time
 
 import httptools
 
-from quota_gateway.net.discovery.watch_event import WatchEvent, parse_watch_event
+from quota_gateway.net.common.socket_calls import READ_BYTES
+from quota_gateway.net.discovery.watch_event import WatchEvent, decode_watch_event
 
 log = logging.getLogger(__name__)
 
-READ_BYTES = 65536
 STATUS_OK = 200
 
 
@@ -43,7 +42,7 @@
         """Return the list; None if the status says that there is none."""
         if self._parser.get_status_code() != STATUS_OK:
             return None
-        return parse_watch_event(json.loads(self.body))
+        return decode_watch_event(self.body)
 
 
 def fetch_list(host: str, port: int, timeout: float) -> WatchEvent | None:
@@ -52,12 +51,10 @@
     The calling thread is blocked meanwhile.
     """
     try:
-        event = _fetch(host, port, time.monotonic() + timeout)
+        return _fetch(host, port, time.monotonic() + timeout)
     except (OSError, ValueError, RecursionError, httptools.HttpParserError) as error:
         log.info("discovery has not confirmed the endpoint list after a stall: %r", error)
         return None
-    # An empty list may be that of a discovery which has lost its state.
-    return event if event is not None and event.update.endpoints else None
 
 
 def _fetch(host: str, port: int, deadline: float) -> WatchEvent | None:
--- a/quota_gateway/net/discovery/poll_timing.py
+++ b/quota_gateway/net/discovery/poll_timing.py
@@ -14,9 +14,9 @@
 # A starting process waits for its first event from discovery for the time of this number of polls, but not
 # longer than the time limit: it must be ready within 6 s.
 FIRST_EVENT_POLLS = 2
+MAX_FIRST_EVENT_TIMEOUT_SECONDS = 3.0
 # Failed polls confirm the list once per poll interval. For a local agent that is 0.6 times the drain notice.
 MAX_UNCONFIRMED_POLLS = 1.25
-MAX_FIRST_EVENT_TIMEOUT_SECONDS = 3.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/quota_gateway/net/discovery/watch_event.py
+++ b/quota_gateway/net/discovery/watch_event.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 from dataclasses import dataclass
 from typing import Any
@@ -46,6 +47,15 @@
         raise MalformedEventError(f"invalid endpoint update: {error!r:.80}") from None
 
 
+def decode_watch_event(text: bytes) -> WatchEvent:
+    """Return the event in a JSON text; raise ``ValueError`` or ``RecursionError`` if it is malformed."""
+    event = parse_watch_event(json.loads(text))
+    if event.update.complete and not event.update.endpoints:
+        # Discovery may have lost its state: the present endpoints stay in use.
+        raise MalformedEventError("a complete list without endpoints; keeping the previous list")
+    return event
+
+
 def _parse_host(host: dict[str, Any]) -> tuple[model.Endpoint, str]:
     """Return an endpoint and its address, which may be empty only if the endpoint is removed."""
     health = HEALTH_STATES[host["health"]]
--- a/quota_gateway/net/discovery/watch_request.py
+++ b/quota_gateway/net/discovery/watch_request.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import json
 import logging
 from dataclasses import replace
 from typing import Protocol, cast
@@ -20,7 +19,7 @@
 )
 from quota_gateway.net.discovery.contact import DiscoveryContact
 from quota_gateway.net.discovery.poll_timing import SILENCE_TIMEOUT_SECONDS
-from quota_gateway.net.discovery.watch_event import MalformedEventError, WatchEvent, parse_watch_event
+from quota_gateway.net.discovery.watch_event import WatchEvent, decode_watch_event
 
 log = logging.getLogger(__name__)
 
@@ -216,7 +215,7 @@
         if not line:  # a heartbeat
             return
         try:
-            event = _parse_line(line)
+            event = decode_watch_event(line)
         except (ValueError, RecursionError) as error:
             self._event_lost = True
             self._owner.on_malformed_line(error)
@@ -224,12 +223,3 @@
             self.received_event = True
             update = replace(event.update, seconds_since_contact=seconds_since_contact)
             self._owner.on_event(replace(event, update=update), resumable=not self._event_lost)
-
-
-def _parse_line(line: bytes) -> WatchEvent:
-    """Return the event in a line; raise ``ValueError`` or ``RecursionError`` if the line is malformed."""
-    event = parse_watch_event(json.loads(line))
-    if event.update.complete and not event.update.endpoints:
-        # Discovery may have lost its state: the present endpoints stay in use.
-        raise MalformedEventError("a complete list without endpoints; keeping the previous list")
-    return event
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -117,3 +117,27 @@
         assert failures[-1] == 0
         assert loop.time() - address_changed_at < 4 * time_scale
         client.close()
+
+
+@async_test
+async def test_a_list_that_is_fetched_after_a_stall_ends_the_wait_for_the_first_event() -> None:
+    """Only requests for the list get a response here; the list was last confirmed too long ago."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if "follow=1" not in await read_request_path(reader):
+            line = message(1)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(line), line))
+        await reader.read()
+
+    versions = list[int]()
+    async with running_server(serve) as address:
+        timing = PollTiming(response_timeout=0.05, max_interval=60.0, is_local_agent=True)
+        client = DiscoveryClient(lambda event: versions.append(event.version), timing)
+        client.set_address(*split_address(address))
+        client.read_received()
+        assert versions == []  # the list counts as confirmed
+        client._contact.confirmed_at -= 2 * timing.max_unconfirmed_seconds
+        await asyncio.to_thread(client.read_received)  # the server runs in this event loop
+        assert versions == [1]
+        assert await asyncio.wait_for(client.wait_for_first_event(), 1.0)
+        client.close()
