Tests: share the set-up of a process that is stopped within a request

Three tests of tests/test_stale_endpoint_list.py repeated it; it is one harness now, with the same steps and assertions.

--- a/tests/test_stale_endpoint_list.py
+++ b/tests/test_stale_endpoint_list.py
@@ -10,9 +10,11 @@
 import json
 import signal
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
@@ -186,6 +188,10 @@
         """Wait until a watch was opened, and return its writer."""
         return await self._watches.get()
 
+    def replace_list(self, hosts: list[dict[str, Any]]) -> None:
+        """Send another list to the watches and requests that arrive from now on."""
+        self._hosts = hosts
+
 
 def host_entry(name: str, address: str) -> dict[str, Any]:
     """Return the entry of a ready endpoint."""
@@ -202,34 +208,62 @@
     await asyncio.sleep(DRAIN_GRACE + 0.15)
 
 
-@async_test
-async def test_a_request_that_was_readable_before_the_drain_is_not_forwarded_after_a_stall(
-    tmp_path: Path,
-) -> None:
-    """Guards against the order of the event loop: it reads the socket that was readable first.
-
-    The first byte of the request arrives before the drain, and the rest when the drain grace has passed.
-    """
+class PushingDiscoveryHarness(NamedTuple):
+    """A limiter that has served one request, its only endpoint ``s1``, its discovery and a client."""
+
+    limiter: LimiterProcess
+    endpoint: ScriptedEndpoint
+    address: str  # of the endpoint
+    discovery: PushingDiscovery
+    watch: asyncio.StreamWriter
+    client: tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+    async def stop_within_request(self) -> bytes:
+        """Stop the process, send the first byte of a request, and return the rest.
+
+        The event loop will read this connection before all that become readable later.
+        """
+        self.limiter.process.send_signal(signal.SIGSTOP)
+        request = http_request()
+        self.client[1].write(request[:1])
+        await asyncio.sleep(0.05)
+        return request[1:]
+
+    async def check_rejected_after_stall(self, rest_of_request: bytes) -> None:
+        """Send the rest of the request, continue the process, and check that no endpoint gets it."""
+        reader, writer = self.client
+        writer.write(rest_of_request)
+        await asyncio.sleep(0.05)
+        self.limiter.process.send_signal(signal.SIGCONT)
+        assert " 429 " in (await read_message(reader))[0]
+        assert len(self.endpoint.requests) == 1
+
+
+@asynccontextmanager
+async def limiter_to_stop(directory: Path, **environment: str) -> AsyncIterator[PushingDiscoveryHarness]:
+    """Run a limiter that follows a discovery, and let it serve one request."""
     endpoint = ScriptedEndpoint()
     async with running_server(endpoint.handle_connection) as address:
         discovery = PushingDiscovery([host_entry("s1", address)])
         async with running_server(discovery.serve) as discovery_address:
             config = make_config(address, discovery_address) | {"settings": SETTINGS}
-            async with running_limiter(config, tmp_path) as limiter:
+            async with running_limiter(config, directory, environment=environment) as limiter:
                 watch = await discovery.opened_watch()
                 reader, writer = await limiter.connect()
                 writer.write(http_request())
                 assert " 200 " in (await read_message(reader))[0]
-                limiter.process.send_signal(signal.SIGSTOP)
-                request = http_request()
-                writer.write(request[:1])
-                await asyncio.sleep(0.05)
-                await stop_while_draining(limiter, watch, "s1", address)
-                writer.write(request[1:])
-                await asyncio.sleep(0.05)
-                limiter.process.send_signal(signal.SIGCONT)
-                assert " 429 " in (await read_message(reader))[0]
-    assert len(endpoint.requests) == 1
+                yield PushingDiscoveryHarness(limiter, endpoint, address, discovery, watch, (reader, writer))
+
+
+@async_test
+async def test_a_request_that_was_readable_before_the_drain_is_not_forwarded_after_a_stall(
+    tmp_path: Path,
+) -> None:
+    """Guards against the order of the event loop: it reads the socket that was readable first."""
+    async with limiter_to_stop(tmp_path) as harness:
+        rest = await harness.stop_within_request()
+        await stop_while_draining(harness.limiter, harness.watch, "s1", harness.address)
+        await harness.check_rejected_after_stall(rest)
 
 
 class RetriedEndpoints:
@@ -319,74 +353,28 @@
     assert other not in endpoints.received_by
 
 
-class ReopeningDiscovery(PushingDiscovery):
-    """Discovery whose list changes: it sends the current one to new watches and to requests for the list."""
-
-    def replace_list(self, hosts: list[dict[str, Any]]) -> None:
-        """Send another list from now on."""
-        self._hosts = hosts
-
-
 @async_test
 async def test_a_request_after_a_stall_is_not_forwarded_by_the_list_of_a_watch_that_was_reset_meanwhile(
     tmp_path: Path,
 ) -> None:
-    """Guards against a list that nobody confirms: the watch is gone, and the drain came after it.
-
-    The first byte of the request arrives before the reset, so the event loop reads the request first.
-    """
-    endpoint = ScriptedEndpoint()
-    async with running_server(endpoint.handle_connection) as address:
-        discovery = ReopeningDiscovery([host_entry("s1", address)])
-        async with running_server(discovery.serve) as discovery_address:
-            config = make_config(address, discovery_address) | {"settings": SETTINGS}
-            async with running_limiter(config, tmp_path) as limiter:
-                watch = await discovery.opened_watch()
-                reader, writer = await limiter.connect()
-                writer.write(http_request())
-                assert " 200 " in (await read_message(reader))[0]
-                limiter.process.send_signal(signal.SIGSTOP)
-                request = http_request()
-                writer.write(request[:1])
-                await asyncio.sleep(0.05)
-                watch.transport.abort()
-                discovery.replace_list([host_entry("s1", address) | {"health": "draining"}])
-                await asyncio.sleep(DRAIN_GRACE + 0.15)
-                writer.write(request[1:])
-                await asyncio.sleep(0.05)
-                limiter.process.send_signal(signal.SIGCONT)
-                assert " 429 " in (await read_message(reader))[0]
-    assert len(endpoint.requests) == 1
+    """Guards against a list that nobody confirms: the watch is gone, and the drain came after it."""
+    async with limiter_to_stop(tmp_path) as harness:
+        rest = await harness.stop_within_request()
+        harness.watch.transport.abort()
+        harness.discovery.replace_list([host_entry("s1", harness.address) | {"health": "draining"}])
+        await asyncio.sleep(DRAIN_GRACE + 0.15)
+        await harness.check_rejected_after_stall(rest)
 
 
 @async_test
 async def test_a_request_is_not_forwarded_to_an_endpoint_whose_suspend_command_waited_through_a_stall(
     tmp_path: Path,
 ) -> None:
-    """Guards against a command that is read after the request: it binds 1 s after it was sent, and the grace.
-
-    The first byte of the request arrives before the command, so the event loop reads the request first.
-    """
-    endpoint = ScriptedEndpoint()
-    async with running_server(endpoint.handle_connection) as address:
-        discovery = PushingDiscovery([host_entry("s1", address)])
-        port = free_port()
-        async with running_server(discovery.serve) as discovery_address:
-            config = make_config(address, discovery_address) | {"settings": SETTINGS}
-            environment = {"LB_MGMT": f"127.0.0.1:{port}", "TMPDIR": str(tmp_path)}
-            async with running_limiter(config, tmp_path, environment=environment) as limiter:
-                reader, writer = await limiter.connect()
-                writer.write(http_request())
-                assert " 200 " in (await read_message(reader))[0]
-                limiter.process.send_signal(signal.SIGSTOP)
-                request = http_request()
-                writer.write(request[:1])
-                await asyncio.sleep(0.05)
-                command = asyncio.create_task(send_command(port, b"SUSPEND s1"))
-                await asyncio.sleep(SUSPEND_DELAY + DRAIN_GRACE + 0.15)
-                writer.write(request[1:])
-                await asyncio.sleep(0.05)
-                limiter.process.send_signal(signal.SIGCONT)
-                assert " 429 " in (await read_message(reader))[0]
-                assert await command == "SUCCESS\n"
-    assert len(endpoint.requests) == 1
+    """Guards against a command that is read after the request: it binds 1 s after it was sent."""
+    port = free_port()
+    async with limiter_to_stop(tmp_path, LB_MGMT=f"127.0.0.1:{port}", TMPDIR=str(tmp_path)) as harness:
+        rest = await harness.stop_within_request()
+        command = asyncio.create_task(send_command(port, b"SUSPEND s1"))
+        await asyncio.sleep(SUSPEND_DELAY + DRAIN_GRACE + 0.15)
+        await harness.check_rejected_after_stall(rest)
+        assert await command == "SUCCESS\n"
