Review case 3: a long answer is cut off at 15 s of a hang that may last 19 s

One of nine servers hangs for 17 s in the middle of a long answer and goes on; the limiter ends the answer after 15 to 16 s.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,9 +1,10 @@
-"""Clients send many requests at once on a connection: is each of them answered?"""
+"""A server hangs in the middle of a long answer and then goes on: does its client get the whole answer?"""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+from asyncio import StreamWriter
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -11,71 +12,107 @@
 sys.path.insert(0, str(FOLDER.parent / "common"))
 
 from stand_ins import (  # noqa: E402
-    BROKEN, HELD, HOST, Limiter, TruncatedAnswerError, World, new_id, read_answer, request_bytes, run_case,
-    warm_up,
+    BROKEN, HELD, HOST, CaseError, Request, Server, TruncatedAnswerError, World, answer_soundly, new_id,
+    read_answer, request_bytes, run_case, warm_up,
 )  # fmt: skip
 
-CLIENTS = 4
-REQUESTS_AT_ONCE = 12  # the page: "many", without a number
-TIMEOUT_MS = 2000
-LATE_SECONDS = 0.55  # half a second after the request's time, and 50 ms on sockets
+ANSWER_BYTES = 4_000_000  # the page: up to 32 MB
+ANSWER_SECONDS = 4.0  # "peers spend seconds reading or writing"
+PIECES = 80
+DOWNLOADS = 8
+HANG_AFTER_SECONDS = 1.5
+HANG_SECONDS = 17.0  # the page: 6.7 to 19 s, up to 19% of the servers; here one of nine
+END_SECONDS = 10.0  # how long the clients wait beyond the hang
 
 
 @dataclass
-class Sent:
-    """One request, as its client sees it."""
+class Download:
+    """One request with a long answer, as its client sees it."""
 
     request_id: str
-    status: int | None = None
+    outcome: str = "still being received"
+    is_whole: bool = False
 
 
-async def run_client(world: World, limiter: Limiter, number: int, at_once: int) -> list[Sent]:
-    """Send the requests, ``at_once`` on the connection, and read their answers in order."""
+class LongAnswers:
+    """The servers' behaviour: offer-quote has a long answer, given evenly."""
+
+    def __init__(self) -> None:
+        self.serving: dict[str, Server] = {}  # by request id
+        self.given: set[str] = set()  # requests whose answer a server has given completely
+
+    async def answer(self, server: Server, request: Request, writer: StreamWriter) -> bool:
+        """Answer, and return whether the connection stays."""
+        if not request.target.startswith("/offer-quote"):
+            return await answer_soundly(server, request, writer)
+        record = server.world.record
+        self.serving[request.request_id] = server
+        writer.write(b"HTTP/1.1 200 OK\r\nX-Units-Charged: 1\r\nContent-Length: %d\r\n\r\n" % ANSWER_BYTES)
+        for _ in range(PIECES):
+            await server.running.wait()
+            try:
+                writer.write(b"a" * (ANSWER_BYTES // PIECES))
+                await writer.drain()
+            except OSError as error:
+                record.write(f"{server.name}: connection lost within {request.request_id}: {error!r}")
+                raise
+            await asyncio.sleep(ANSWER_SECONDS / PIECES)
+        self.given.add(request.request_id)
+        record.write(f"{server.name} has given all of the answer to {request.request_id}")
+        return True
+
+
+async def run_download(world: World, download: Download, account: int) -> None:
+    """Send the request and read its answer."""
     record = world.record
+    limiter = world.limiters[account % len(world.limiters)]
     reader, writer = await asyncio.open_connection(HOST, limiter.port)
-    sent = [Sent(new_id()) for _ in range(REQUESTS_AT_ONCE)]
-    for start in range(0, len(sent), at_once):
-        group = sent[start : start + at_once]
-        data = [
-            request_bytes(request.request_id, "loan-status", TIMEOUT_MS, account=0x6000 + number * 64 + start + place)
-            for place, request in enumerate(group)
-        ]
-        writer.write(b"".join(data))
-        sent_at = record.now()
-        record.write(f"client {number} sends {len(group)} requests at once to {limiter.name}")
-        for request in group:
-            latest = sent_at + TIMEOUT_MS / 1000 + LATE_SECONDS
-            try:
-                async with asyncio.timeout(latest - record.now()):
-                    answer = await read_answer(reader, record)
-            except (TimeoutError, TruncatedAnswerError, OSError) as error:
-                record.write(f"client {number}: no whole answer to {request.request_id}: {error!r}")
-                break
-            if answer is None:
-                record.write(f"client {number}: the limiter has ended the connection before {request.request_id}")
-                break
-            request.status = answer.status
-            record.write(f"client {number}: {request.request_id} answered {answer.status}")
-            if answer.headers.get("connection", "").lower() == "close" and request is not sent[-1]:
-                record.write(f"client {number}: the answer to {request.request_id} announces the close")
-    writer.close()
-    return sent
+    record.write(f"client sends {download.request_id} to {limiter.name}")
+    writer.write(request_bytes(download.request_id, "offer-quote", 3000, account=account))
+    try:
+        answer = await read_answer(reader, record)
+        if answer is None:
+            download.outcome = "connection closed without an answer"
+        else:
+            download.is_whole = answer.status == 200 and len(answer.body) == ANSWER_BYTES  # noqa: PLR2004
+            download.outcome = f"status {answer.status}, {len(answer.body)} bytes, whole: {download.is_whole}"
+    except TruncatedAnswerError as error:
+        download.outcome = f"cut off: {error!r:.120}"
+    finally:
+        writer.close()
+    record.write(f"{download.request_id}: {download.outcome}")
 
 
 async def play(world: World, trouble: bool) -> int:  # noqa: FBT001
     """Run the case."""
-    await world.start()
+    answers = LongAnswers()
+
+    def prepare(prepared: World) -> None:
+        for server in prepared.servers:
+            server.behaviour = answers.answer
+
+    await world.start(prepare)
     await warm_up(world, 4.0)
-    at_once = REQUESTS_AT_ONCE if trouble else 1
-    clients = []
-    for number in range(CLIENTS):
-        limiter = world.limiters[number % len(world.limiters)]
-        clients.append(await run_client(world, limiter, number, at_once))
-        await asyncio.sleep(0.5)
-    lost = [request for sent in clients for request in sent if request.status is None]
-    total = sum(len(sent) for sent in clients)
-    world.record.write(f"{total} requests, {len(lost)} without an answer")
-    return BROKEN if lost else HELD
+    record = world.record
+    downloads = [Download(new_id()) for _ in range(DOWNLOADS)]
+    tasks = [
+        asyncio.create_task(run_download(world, download, 0x7000 + number))
+        for number, download in enumerate(downloads)
+    ]
+    await asyncio.sleep(HANG_AFTER_SECONDS)
+    if not answers.serving:
+        raise CaseError("no server has begun a long answer")
+    if trouble:
+        hung = next(iter(answers.serving.values()))
+        hung.running.clear()
+        record.write(f"{hung.name} hangs")
+        await asyncio.sleep(HANG_SECONDS)
+        hung.running.set()
+        record.write(f"{hung.name} goes on")
+    await asyncio.wait(tasks, timeout=END_SECONDS)
+    cut = [download for download in downloads if download.outcome.startswith("cut")]
+    record.write(f"{len(downloads)} long answers, {len(cut)} cut off")
+    return BROKEN if cut else HELD
 
 
 if __name__ == "__main__":
