Start the timeout of an upload whose last part waits unread in the socket

Cause: reading pauses while the endpoint accepts nothing, and the timeout began with the reading of the last byte.

Change: the scan asks the socket of each paused upload whether its rest has arrived (number of unread bytes, or the end of the last chunk once the input is quiet), and starts the timeout from the arrival that the system reports. The end, when read, does not start it again.

--- a/quota_gateway/net/client/request.py
+++ b/quota_gateway/net/client/request.py
@@ -26,7 +26,7 @@
         """Handle an accepted request; the body of a streamed upload is still being received."""
 
     def on_upload_completed(self, request: ClientRequest) -> None:
-        """Handle the complete receipt of a streamed upload."""
+        """Handle the arrival of the last byte of a streamed upload, which may still be unread."""
 
     def on_client_disconnected(self, request: ClientRequest) -> None:
         """Handle the disconnect of the client of an unanswered request."""
@@ -84,6 +84,7 @@
         "event",
         "forwarded_body",
         "forwarded_head",
+        "has_arrived",
         "is_http_1_0",
         "keep_alive",
         "request_id",
@@ -114,6 +115,8 @@
         self.keep_alive = keep_alive
         self.is_http_1_0 = is_http_1_0
         self.arrived_at = arrived_at
+        # Whether its last byte has arrived; the last part of an upload may still be unread.
+        self.has_arrived = upload is None
         self.event: model.Request | None = None
         self.request_id = b""
         self.forwarded_head = b""  # request line and headers for the endpoint, without the empty line
@@ -144,6 +147,7 @@
 
     def record_arrival(self, at: float) -> None:
         """Record when the last byte of the upload arrived, by the clock of the shared state."""
+        self.has_arrived = True
         self.arrived_at = at
 
     def seconds_since_arrival(self) -> float:
--- a/quota_gateway/net/client/request_intake.py
+++ b/quota_gateway/net/client/request_intake.py
@@ -49,7 +49,7 @@
         self._handler.on_request(request)
 
     def complete_upload(self, request: ClientRequest) -> None:
-        """Notify the handler that the upload of an accepted request has been received completely."""
+        """Notify the handler that the last byte of an accepted request's upload has arrived."""
         if request.response_head is None and request.event is not None:
             self._handler.on_upload_completed(request)
 
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -15,6 +15,7 @@
 from quota_gateway.net.client.shared_state import SharedState
 from quota_gateway.net.client.stats import CloseReason
 from quota_gateway.net.client.transport import ClientTransport
+from quota_gateway.net.client.unread_upload import UnreadUpload
 from quota_gateway.net.common.body_stream import BodyStream
 
 log = logging.getLogger(__name__)
@@ -42,6 +43,7 @@
         "_closer",
         "_intake",
         "_transport",
+        "_unread_upload",
         "liveness",
         "queue",
         "reader",
@@ -55,6 +57,7 @@
         self._transport = transport
         self._closer = closer
         self._intake = intake
+        self._unread_upload: UnreadUpload | None = None  # None before the first upload
         self.shared = shared
         self.reader = RequestReader(self, shared.clock)
         self.liveness = ClientLiveness(transport, self, shared.clock)
@@ -97,6 +100,8 @@
             return
         self.shared.stalls.record_iteration(self.shared.clock())
         self.reader.feed(data)
+        if self._unread_upload is not None:
+            self._unread_upload.record_read(data)
 
     def on_request_started(self, *, is_first: bool) -> float:
         """Return the time at which the timeouts of a request begin; for the first one, it is the connect."""
@@ -113,6 +118,7 @@
         """Queue a request and pass it to the intake; raise BadRequestError if it was answered as invalid."""
         if upload is not None:
             self._transport.limit_receive_buffer()
+            self._unread_upload = UnreadUpload(self._transport)
         request = ClientRequest(
             self,
             keep_alive=keep_alive,
@@ -132,10 +138,20 @@
             self.update_reading()
 
     def on_upload_completed(self) -> None:
-        """Notify the handler that the last request's upload has been received completely."""
+        """Record the arrival of the last request's upload, which has been read completely."""
+        self._unread_upload = None
+        self._record_upload_arrival(self._record_arrival())
+
+    def _record_upload_arrival(self, at: float) -> None:
+        """Notify the handler, once, that the last byte of the last request's upload has arrived."""
         request = self.queue[-1]
-        request.record_arrival(self._record_arrival())
-        self._intake.complete_upload(request)
+        if not request.has_arrived:
+            request.record_arrival(at)
+            self._intake.complete_upload(request)
+
+    def _data_age(self) -> float | None:
+        """Return the seconds since the last input arrived; None if the system does not report them."""
+        return self._transport.seconds_since_last_data() if self.shared.reports_data_age else None
 
     def _record_arrival(self) -> float:
         """Return the time at which the last input arrived, which may be some time before it was read.
@@ -144,7 +160,7 @@
         """
         # The clock is read first: a stall after that can only make the arrival appear earlier.
         now = self.shared.clock()
-        data_age = self._transport.seconds_since_last_data() if self.shared.reports_data_age else None
+        data_age = self._data_age()
         if data_age is None:
             self.liveness.record_seen(self.shared.stalls.input_arrived_after(now))
             return now
@@ -237,9 +253,19 @@
     def _check_upload(self, now: float) -> None:
         if self._transport.reading_paused:
             self.liveness.poll()
+            self._check_unread_upload()
         if self._transport.is_open and self.reader.body.is_upload_stalled(now):
             self._intake.time_out_upload(self.queue[-1])
 
+    def _check_unread_upload(self) -> None:
+        """Start the timeout of an upload whose last byte has arrived but cannot be read yet."""
+        upload = self._unread_upload
+        if upload is None or not self._transport.is_open or self.queue[-1].has_arrived:
+            return
+        now = self.shared.clock()
+        if upload.is_complete(self.reader.body.missing_bytes):
+            self._record_upload_arrival(now - (self._data_age() or 0.0))
+
     def _check_response(self, now: float) -> None:
         if self._transport.reading_paused and not self.liveness.input_ended:
             self.liveness.poll()
--- a/quota_gateway/net/client/transport.py
+++ b/quota_gateway/net/client/transport.py
@@ -91,6 +91,16 @@
         """Whether the socket has input that the event loop has not read; closing would lose that input."""
         return self._transport is not None and socket_calls.has_unread_input(self._transport)
 
+    def unread_size(self) -> int:
+        """Return the number of bytes that the socket has received and the event loop has not read."""
+        return 0 if self._transport is None else socket_calls.unread_size(self._transport)
+
+    def peek_input(self, size: int) -> bytes:
+        """Return up to ``size`` unread bytes without reading them."""
+        if self._transport is None:
+            return b""
+        return socket_calls.peek(self._transport.get_extra_info("socket").fileno(), size)
+
     def _writable_transport(self) -> asyncio.Transport | None:
         if self.phase is not _OPEN:
             return None
--- a/quota_gateway/net/common/socket_calls.py
+++ b/quota_gateway/net/common/socket_calls.py
@@ -45,13 +45,18 @@
     return bool(transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
 
-def has_unread_input(transport: asyncio.Transport) -> bool:
-    """Whether the socket has received bytes that the event loop has not read."""
+def unread_size(transport: asyncio.Transport) -> int:
+    """Return the number of bytes that the socket has received and the event loop has not read."""
     descriptor = transport.get_extra_info("socket").fileno()
     if descriptor < 0:
-        return False
-    (unread_bytes,) = NATIVE_INT.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(NATIVE_INT.size)))
-    return bool(unread_bytes)
+        return 0
+    (size,) = NATIVE_INT.unpack(fcntl.ioctl(descriptor, termios.FIONREAD, bytes(NATIVE_INT.size)))
+    return int(size)
+
+
+def has_unread_input(transport: asyncio.Transport) -> bool:
+    """Whether the socket has received bytes that the event loop has not read."""
+    return unread_size(transport) > 0
 
 
 def read_available(transport: asyncio.Transport) -> bytes:
--- a/quota_gateway/net/dispatch/dispatcher.py
+++ b/quota_gateway/net/dispatch/dispatcher.py
@@ -171,7 +171,7 @@
             self.dispatch(self.requests.add(request, event))
 
     def on_upload_completed(self, request: ClientRequest) -> None:
-        """Start the timeout of a streamed upload whose last byte was received."""
+        """Start the timeout of a streamed upload whose last byte has arrived."""
         event = request.event
         assert event is not None
         if self.requests.complete_upload(event):
--- a/tests/test_body_stream.py
+++ b/tests/test_body_stream.py
@@ -23,9 +23,8 @@
     read_final_response,
     reject,
     take_no_action,
-    wait_for_connections,
 )
-from tests.http_bodies import LONG_BODY, chunked, read_head, upload, upload_head
+from tests.http_bodies import LONG_BODY, chunked, read_head, upload
 from tests.loopback import (
     OK_RESPONSE,
     LoopbackLimiter,
@@ -38,6 +37,7 @@
     read_message,
     resume_reading,
 )
+from tests.paused_endpoint import PausedEndpoint, upload_until_backpressure
 
 LONG_RESPONSES = [
     b"Content-Length: %d\r\n\r\n" % len(LONG_BODY) + LONG_BODY,
@@ -221,52 +221,6 @@
         await script.wait_for(model.ClientDisconnected)
 
 
-class PausedEndpoint:
-    """Reads nothing until it is resumed.
-
-    ``body_size`` then becomes the size of the request body in bytes, or 0 if the body was truncated.
-    """
-
-    def __init__(self) -> None:
-        self.resume = asyncio.Event()
-        self.body_size: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one connection."""
-        pause_reading(writer)
-        await self.resume.wait()
-        resume_reading(writer)
-        _, headers = await read_head(reader)
-        try:
-            self.body_size.set_result(len(await read_body(reader, headers)))
-            writer.write(OK_RESPONSE)
-        except (asyncio.IncompleteReadError, OSError, ValueError):
-            self.body_size.set_result(0)
-
-
-async def upload_until_backpressure(client: socket.socket, limiter: LoopbackLimiter) -> int:
-    """Send a body whose end the limiter does not read because of backpressure; return the body's size."""
-    client.sendall(upload_head("chunked", 0, timeout_ms=60_000))
-    (connection,) = await wait_for_connections(limiter)
-    client.sendall(b"10000\r\n" + b"x" * 0x10000 + b"\r\n1\r\nx\r\n")  # long enough to be streamed
-    size = 0x10001
-    while True:
-        pending = list(limiter.dispatcher.requests.open_requests())
-        if pending and pending[0].attempts[0].connection:
-            break
-        await asyncio.sleep(0)
-    while connection.pipeline.reader.body.paused or connection.pipeline.reader.body.size < size:
-        await asyncio.sleep(0)
-    chunk = b"x" * 8192
-    while not connection.pipeline.reader.body.paused:  # each chunk is read before the next is sent
-        client.sendall(b"%x\r\n%b\r\n" % (len(chunk), chunk))
-        size += len(chunk)
-        while connection.pipeline.reader.body.size < size and not connection.pipeline.reader.body.paused:
-            await asyncio.sleep(0)
-    client.sendall(b"0\r\n\r\n")
-    return size
-
-
 @pytest.mark.parametrize("disconnect", DISCONNECT_FUNCTIONS)
 @async_test
 async def test_upload_with_an_unread_end_is_truncated_when_its_client_disconnects(disconnect: Any) -> None:
--- /dev/null
+++ b/tests/test_unread_upload.py
@@ -0,0 +1,146 @@
+"""Uploads whose last part waits unread in the socket: the timeout runs from the arrival of the last byte."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from quota_gateway import model
+from quota_gateway.net.client.unread_upload import MAX_END_BYTES, UnreadUpload
+from tests.client_helpers import limiter_with_endpoint, take_no_action
+from tests.http_bodies import upload_head
+from tests.loopback import (
+    LoopbackLimiter,
+    ScriptedDecisions,
+    async_test,
+    forward_to_s1,
+    read_message,
+)
+from tests.paused_endpoint import PausedEndpoint, upload_until_backpressure
+
+# Far less than the time after which a stalled upload is aborted, and far more than a busy machine needs.
+ANSWER_SECONDS = 5.0
+LENGTH = 70_000
+
+
+class FakeSocket:
+    """A socket with the given unread input."""
+
+    def __init__(self, unread: bytes) -> None:
+        self.unread = unread
+
+    def unread_size(self) -> int:
+        return len(self.unread)
+
+    def peek_input(self, size: int) -> bytes:
+        return self.unread[:size]
+
+
+def is_complete_when_quiet(upload: UnreadUpload) -> bool:
+    assert not upload.is_complete(None)  # more input may follow
+    return upload.is_complete(None)
+
+
+@pytest.mark.parametrize(("unread", "is_complete"), [(0, False), (99, False), (100, True), (150, True)])
+def test_upload_of_known_length_is_complete_once_the_missing_bytes_have_arrived(
+    unread: int, is_complete: bool
+) -> None:
+    assert UnreadUpload(FakeSocket(b"x" * unread)).is_complete(100) is is_complete
+
+
+@pytest.mark.parametrize("end", [b"0\r\n\r\n", b"000;a=b\r\n\r\n", b"0\r\nX-A: 1\r\nX-B: 2\r\n\r\n"])
+@pytest.mark.parametrize("read_size", [0, 1, 2, 3, 4, 5, 6])
+def test_chunked_upload_is_complete_once_its_end_has_arrived_also_if_the_end_was_read_in_part(
+    end: bytes, read_size: int
+) -> None:
+    data = b"xy\r\n" + end
+    input_socket = FakeSocket(data[2 + read_size :])
+    upload = UnreadUpload(input_socket)
+    upload.record_read(data[:2])
+    upload.record_read(data[2 : 2 + read_size])
+    assert is_complete_when_quiet(upload)
+
+
+@pytest.mark.parametrize(
+    "unread",
+    [b"", b"5\r\nabc", b"2\r\nab\r\n0\r\n", b"2\r\nab\r\n0\r\nX-A: 1\r\n", b"10\r\n\r\n", b"\r\n\r\n"],
+)
+def test_chunked_upload_is_incomplete_before_the_end_of_its_last_chunk(unread: bytes) -> None:
+    upload = UnreadUpload(FakeSocket(unread))
+    upload.record_read(b"x" * MAX_END_BYTES + b"\r\n")
+    assert not is_complete_when_quiet(upload)
+
+
+def test_chunked_upload_is_not_examined_while_input_arrives() -> None:
+    input_socket = FakeSocket(b"\r\n0\r\n\r\n")
+    upload = UnreadUpload(input_socket)
+    assert not upload.is_complete(None)
+    input_socket.unread += b"more\r\n0\r\n\r\n"
+    assert not upload.is_complete(None)
+    assert upload.is_complete(None)
+
+
+async def send_all(client: socket.socket, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    client.sendall(data)
+    client.setblocking(False)  # noqa: FBT003 - positional only
+    return await asyncio.open_connection(sock=client)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@async_test
+async def test_upload_without_an_attempt_is_answered_in_time_although_its_end_is_unread(framing: str) -> None:
+    """Guards against requests that were received completely and got no answer in their time."""
+    script = ScriptedDecisions(take_no_action)
+    async with LoopbackLimiter(script, {}) as limiter:
+        client = socket.create_connection(limiter.address)
+        parts = (b"x" * LENGTH, b"x" * LENGTH)
+        if framing == "chunked":
+            parts = (b"%x\r\n" % LENGTH + parts[0], b"\r\n%x\r\n" % LENGTH + parts[1] + b"\r\n0\r\n\r\n")
+        client.sendall(upload_head(framing, 2 * LENGTH, timeout_ms=300) + parts[0])
+        while not any(other.pipeline.reader.body.paused for other in limiter.listener.connections):
+            await asyncio.sleep(0.01)
+        reader, writer = await send_all(client, parts[1])
+        async with asyncio.timeout(ANSWER_SECONDS):
+            assert " 504 " in (await read_message(reader))[0]
+        assert sum(isinstance(event, model.UploadCompleted) for event in script.events) == 1
+        writer.close()
+
+
+@async_test
+async def test_upload_to_a_hung_endpoint_is_answered_in_time_although_its_end_is_unread() -> None:
+    """Guards against requests that got no answer in their time because an endpoint stopped reading them."""
+    endpoint = PausedEndpoint()
+    script = ScriptedDecisions(forward_to_s1)
+    async with limiter_with_endpoint(endpoint.serve, script) as limiter:
+        client = socket.create_connection(limiter.address)
+        await upload_until_backpressure(client, limiter, timeout_ms=1500)
+        (pending,) = limiter.dispatcher.requests.open_requests()
+        reader, writer = await send_all(client, b"")
+        async with asyncio.timeout(ANSWER_SECONDS):
+            status_line = (await read_message(reader))[0]
+        assert " 429 " in status_line or " 504 " in status_line  # the latter after a delay of this process
+        (completed,) = await script.wait_for(model.AttemptCompleted)
+        assert completed.status in (model.CallStatus.NOT_SENT, model.CallStatus.CANCELLED)
+        assert not pending.attempts[0].request_written
+        writer.close()
+
+
+@async_test
+async def test_upload_whose_end_was_unread_is_served_if_the_endpoint_goes_on_in_time() -> None:
+    endpoint = PausedEndpoint()
+    script = ScriptedDecisions(forward_to_s1)
+    async with limiter_with_endpoint(endpoint.serve, script) as limiter:
+        client = socket.create_connection(limiter.address)
+        size = await upload_until_backpressure(client, limiter, timeout_ms=15_000)
+        reader, writer = await send_all(client, b"")
+        await script.wait_for(model.UploadCompleted)  # before the endpoint reads anything
+        (pending,) = limiter.dispatcher.requests.open_requests()
+        deadline = pending.deadline
+        endpoint.resume.set()
+        assert await endpoint.body_size == size
+        assert (await read_message(reader))[2] == b"hi"
+        assert pending.deadline == deadline  # reading the end did not start the timeout again
+        assert len(await script.wait_for(model.UploadCompleted)) == 1
+        writer.close()
