Complete streamed responses before a process ends by itself after SIGTERM

Cause: a streamed response has left the table of open requests, and the shutdown ended with its drain time, whatever connections still passed on.

Change: behind the drain the process waits until no response is being written.

--- a/quota_gateway/net/client/connection.py
+++ b/quota_gateway/net/client/connection.py
@@ -90,6 +90,11 @@
         """Produce output again: the write buffer has drained."""
         self.pipeline.set_write_blocked(blocked=False)
 
+    @property
+    def is_responding(self) -> bool:
+        """Whether a response has begun or is due, and has not been written completely."""
+        return bool(self.pipeline.queue) or self.transport.has_unwritten_output
+
     # Timeouts and eviction.
 
     def check_timeouts(self, now: float) -> None:
--- a/quota_gateway/net/client/listener.py
+++ b/quota_gateway/net/client/listener.py
@@ -25,6 +25,7 @@
 SCANS_PER_LOG_LINE = 50
 # How long a closing listener waits for free descriptors to accept the connections in its accept queue.
 DESCRIPTOR_WAIT_SECONDS = 0.1
+RESPONSES_POLL_SECONDS = 0.02  # between two checks whether all responses are written
 
 
 class ClientListener:
@@ -178,6 +179,21 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._all_closed.wait(), grace)
 
+    async def finish_responses(self, timeout: float) -> int:
+        """Wait at most ``timeout`` seconds until all responses are written; return how many are not.
+
+        Idle connections are closed meanwhile, and the timeouts of the others are checked.
+        """
+        deadline = self.shared.clock() + timeout
+        self.shared.start_closing_idle_connections()
+        self._scan()
+        while (unfinished := self._responding_count()) and self.shared.clock() < deadline:
+            await asyncio.sleep(RESPONSES_POLL_SECONDS)
+        return unfinished
+
+    def _responding_count(self) -> int:
+        return sum(connection.is_responding for connection in self.connections)
+
     async def close(self, grace: float) -> None:
         """Stop accepting, close idle connections, and wait at most ``grace`` seconds for the others to close.
 
--- a/quota_gateway/net/client/transport.py
+++ b/quota_gateway/net/client/transport.py
@@ -91,6 +91,11 @@
         """Whether the socket has input that the event loop has not read; closing would lose that input."""
         return self._transport is not None and socket_calls.has_unread_input(self._transport)
 
+    @property
+    def has_unwritten_output(self) -> bool:
+        """Whether a part of the output has not been passed to the operating system."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def unread_size(self) -> int:
         """Return the number of bytes that the socket has received and the event loop has not read."""
         return 0 if self._transport is None else socket_calls.unread_size(self._transport)
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -97,6 +97,8 @@
     "nothing can be shared with another process",
     "configuration reloaded",
     "shutting down",
+    "responses are still being written",
+    "ending with %d responses cut off",
     "; answered %d",
 )
 EXIT_TIMEOUT = 20.0  # seconds; only a hung process takes this long
--- a/tests/test_process_handover.py
+++ b/tests/test_process_handover.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from contextlib import AbstractAsyncContextManager, contextmanager
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -188,13 +189,15 @@
         else:
             listener.close()
 
-    def start(self, endpoint_address: str, admin_port: int) -> AbstractAsyncContextManager[LimiterProcess]:
+    def start(
+        self, endpoint_address: str, admin_port: int, raw: dict[str, Any] | None = None
+    ) -> AbstractAsyncContextManager[LimiterProcess]:
+        """Start a process; ``raw`` replaces the usual configuration, but for the addresses."""
         addresses = {"listen": self._address, "mgmt": f"127.0.0.1:{admin_port}"}
         directory = self._directory / str(admin_port)
         directory.mkdir()
-        return running_limiter(
-            make_config(endpoint_address) | addresses, directory, self._descriptors, self._environment
-        )
+        config = raw or make_config(endpoint_address)
+        return running_limiter(config | addresses, directory, self._descriptors, self._environment)
 
 
 async def check_takeover(old: LimiterProcess, old_port: int, new_port: int) -> None:
