Wait longer than the longest hang before a stalled body is aborted

The line "body stream to or from ... stalled" stands in the limiters' logs at the moment of the cut.

Change: one timeout of 30 s for answers, uploads and clients. Each stalled transfer still ends; memory and connections are bounded as before, for twice the time.

Tests: tests/test_body_stalls.py, hangs of 6.7 to 25 s in an answer and an upload, and an abort after 31 s.

--- a/quota_gateway/net/client/response_queue.py
+++ b/quota_gateway/net/client/response_queue.py
@@ -9,10 +9,9 @@
 from quota_gateway.net.client.request_intake import RequestIntake
 from quota_gateway.net.client.request_parser import BadRequestError
 from quota_gateway.net.client.shared_state import SharedState
+from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS
 
 MAX_PIPELINED_REQUESTS = 8  # unanswered requests of one connection; most clients send one at a time
-# The connection of a client that accepts no data of a streamed response for this time is aborted.
-RESPONSE_STALL_TIMEOUT_SECONDS = 15.0
 
 
 class ResponseOutput(Protocol):
@@ -92,7 +91,7 @@
     def is_stalled(self, now: float) -> bool:
         """Whether the client has stopped accepting the streamed response."""
         first = self[0]
-        is_late = first.seconds_without_progress(now) > RESPONSE_STALL_TIMEOUT_SECONDS
+        is_late = first.seconds_without_progress(now) > BODY_STALL_TIMEOUT_SECONDS
         return first.response_stream is not None and self.write_blocked and is_late
 
     def unanswered_ids(self) -> list[str]:
--- a/quota_gateway/net/common/body_stream.py
+++ b/quota_gateway/net/common/body_stream.py
@@ -6,6 +6,10 @@
 
 from quota_gateway.net.common.http_common import MAX_BUFFERED_BODY_BYTES
 
+# A connection is aborted if its peer accepts or sends nothing of a body for this time. Endpoints may hang for
+# 25 s in the middle of their work.
+BODY_STALL_TIMEOUT_SECONDS = 30.0
+
 
 class BodySource(Protocol):
     """The connection that a body is read from."""
--- a/quota_gateway/net/upstream/request_writer.py
+++ b/quota_gateway/net/upstream/request_writer.py
@@ -6,10 +6,9 @@
 from typing import Protocol
 
 from quota_gateway.model import CallStatus
+from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS
 from quota_gateway.net.upstream.exchange import Clock, Exchange, ExchangeEvents
 
-STALL_TIMEOUT_SECONDS = 15.0  # the connection of a streamed body is aborted after this time without progress
-
 
 class WriterConnection(Protocol):
     """The connection that a request is written to."""
@@ -96,8 +95,8 @@
             self._finish_request(exchange)
 
     def is_stalled(self, now: float) -> bool:
-        """Whether the endpoint has accepted nothing of an upload for ``STALL_TIMEOUT_SECONDS``."""
-        return self.has_unsent_bytes and now - self._last_progress > STALL_TIMEOUT_SECONDS
+        """Whether the endpoint has accepted nothing of an upload for ``BODY_STALL_TIMEOUT_SECONDS``."""
+        return self.has_unsent_bytes and now - self._last_progress > BODY_STALL_TIMEOUT_SECONDS
 
     def _finish_request(self, exchange: Exchange) -> None:
         self._exchange = None
--- a/quota_gateway/net/upstream/response_source.py
+++ b/quota_gateway/net/upstream/response_source.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS
 from quota_gateway.net.upstream.exchange import Clock
-from quota_gateway.net.upstream.request_writer import STALL_TIMEOUT_SECONDS
 
 
 class SourceConnection(Protocol):
@@ -40,8 +40,8 @@
         self._last_progress = self._clock()
 
     def is_stalled(self, now: float) -> bool:
-        """Whether the endpoint has sent nothing of the response for ``STALL_TIMEOUT_SECONDS``."""
-        return not self.is_paused and now - self._last_progress > STALL_TIMEOUT_SECONDS
+        """Whether the endpoint has sent nothing of the response for ``BODY_STALL_TIMEOUT_SECONDS``."""
+        return not self.is_paused and now - self._last_progress > BODY_STALL_TIMEOUT_SECONDS
 
     def set_paused(self, *, paused: bool) -> None:
         """Pause or resume reading."""
--- /dev/null
+++ b/tests/test_body_stalls.py
@@ -0,0 +1,191 @@
+"""Bodies whose transfer stands still for a while: it goes on after the longest hang, and is aborted later."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+
+import pytest
+
+from quota_gateway.model import CallStatus
+from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS, BodyStream
+from quota_gateway.net.upstream import pool
+from quota_gateway.net.upstream.exchange import Exchange
+from tests.http_bodies import LONG_BODY, read_head
+from tests.loopback import OK_RESPONSE, ConnectionHandler, async_test, read_message
+from tests.pool_harness import ENDPOINT, REQUEST_HEAD, PoolHarness
+
+HANGS = [6.7, 14.9, 15.1, 19.0, 25.0]  # seconds; the pages name hangs of up to 25 s
+HALF = len(LONG_BODY) // 2
+SCAN_SECONDS = 0.01
+SCANS_SECONDS = 0.2  # real time in which several scans take place
+SEGMENT_BYTES = 1460
+RECEIVE_BUFFER_BYTES = 32 * 1024
+
+
+class Collector:
+    """The sink of a response: collects its body."""
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.is_whole: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+    def write_chunk(self, data: bytes) -> None:
+        self.body += data
+
+    def finish(self) -> None:
+        self.is_whole.set_result(True)
+
+    def truncate(self) -> None:
+        self.is_whole.set_result(False)
+
+    def attach(self, _exchange: Exchange, stream: BodyStream) -> bool:
+        stream.attach(self, writable=True)
+        return True
+
+
+class Uploader:
+    """The source of an upload that is in memory."""
+
+    def __init__(self, body: bytes) -> None:
+        self.stream = BodyStream(self, len(body))
+        self.stream.write(body)
+        self.stream.finish()
+
+    def set_paused(self, *, paused: bool) -> None:
+        """Do nothing: the body is in memory."""
+
+    def abandon(self) -> None:
+        """Do nothing: the body is in memory."""
+
+
+@pytest.fixture(autouse=True)
+def frequent_scans(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pool, "SCAN_INTERVAL_SECONDS", SCAN_SECONDS)
+
+
+async def serve_slow_network(handle: ConnectionHandler) -> asyncio.Server:
+    """Return a server whose connections have ordinary segments and a small receive buffer."""
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+    listening.bind(("127.0.0.1", 0))
+    return await asyncio.start_server(handle, sock=listening, limit=SEGMENT_BYTES)
+
+
+def harness_for(server: asyncio.Server) -> PoolHarness:
+    host, port = server.sockets[0].getsockname()
+    harness = PoolHarness(f"{host}:{port}")
+    harness.set_clock(harness.clock())
+    return harness
+
+
+async def pass_time(harness: PoolHarness, seconds: float) -> None:
+    """Let the pool's time pass, and several scans take place."""
+    harness.set_clock(harness.clock() + seconds)
+    await asyncio.sleep(SCANS_SECONDS)
+
+
+class HangingEndpoint:
+    """Sends half of a long response, and the rest once it is released."""
+
+    def __init__(self) -> None:
+        self.released = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_message(reader)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG_BODY) + LONG_BODY[:HALF])
+        await self.released.wait()
+        writer.write(LONG_BODY[HALF:])
+        await writer.drain()
+
+
+async def begin_response(harness: PoolHarness) -> Collector:
+    collector = Collector()
+    exchange = Exchange(
+        ENDPOINT, REQUEST_HEAD, b"", harness.clock() + 10.0, lambda _exchange: None, collector.attach
+    )
+    harness.pool.start(exchange)
+    while len(collector.body) < HALF:
+        await asyncio.sleep(SCAN_SECONDS)
+    return collector
+
+
+@pytest.mark.parametrize("hang", HANGS)
+@async_test
+async def test_response_is_whole_if_its_endpoint_hangs_within_it_and_goes_on(hang: float) -> None:
+    """Guards against long responses that are cut off while their endpoint hangs."""
+    endpoint = HangingEndpoint()
+    server = await serve_slow_network(endpoint.serve)
+    async with server, harness_for(server) as harness:
+        collector = await begin_response(harness)
+        await pass_time(harness, hang)
+        assert not collector.is_whole.done()
+        endpoint.released.set()
+        assert await collector.is_whole
+        assert collector.body == LONG_BODY
+
+
+@async_test
+async def test_response_is_truncated_if_its_endpoint_sends_nothing_for_longer_than_any_hang() -> None:
+    endpoint = HangingEndpoint()
+    server = await serve_slow_network(endpoint.serve)
+    async with server, harness_for(server) as harness:
+        collector = await begin_response(harness)
+        await pass_time(harness, BODY_STALL_TIMEOUT_SECONDS + 1)
+        assert not await collector.is_whole
+        assert not harness.pool.streaming_connections
+
+
+class SlowReader:
+    """Reads as many bytes of a request as the test allows."""
+
+    def __init__(self) -> None:
+        self.allowed = asyncio.Queue[int]()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        _, headers = await read_head(reader)
+        remaining = int(headers["content-length"])
+        while remaining:
+            size = min(remaining, await self.allowed.get())
+            await reader.readexactly(size)
+            remaining -= size
+        writer.write(OK_RESPONSE)
+        await writer.drain()
+
+
+async def begin_upload(harness: PoolHarness) -> asyncio.Future[Exchange]:
+    """Begin an upload of which the endpoint accepts a part."""
+    completed: asyncio.Future[Exchange] = asyncio.get_running_loop().create_future()
+    head = b"POST /post HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n" % len(LONG_BODY)
+    upload = Uploader(LONG_BODY).stream
+    harness.pool.start(Exchange(ENDPOINT, head, b"", math.inf, completed.set_result, upload=upload))
+    while not harness.pool.streaming_connections:
+        await asyncio.sleep(SCAN_SECONDS)
+    await pass_time(harness, 0.0)
+    return completed
+
+
+@pytest.mark.parametrize("hang", HANGS)
+@async_test
+async def test_upload_is_whole_if_its_endpoint_hangs_and_goes_on(hang: float) -> None:
+    """Guards against uploads that are cut off while their endpoint hangs."""
+    endpoint = SlowReader()
+    server = await serve_slow_network(endpoint.serve)
+    async with server, harness_for(server) as harness:
+        completed = await begin_upload(harness)
+        await pass_time(harness, hang)
+        assert not completed.done()
+        endpoint.allowed.put_nowait(len(LONG_BODY))
+        assert (await completed).status is CallStatus.OK
+
+
+@async_test
+async def test_upload_ends_if_its_endpoint_accepts_nothing_for_longer_than_any_hang() -> None:
+    server = await serve_slow_network(SlowReader().serve)
+    async with server, harness_for(server) as harness:
+        completed = await begin_upload(harness)
+        await pass_time(harness, BODY_STALL_TIMEOUT_SECONDS + 1)
+        assert (await completed).status is CallStatus.RESET_BEFORE_REQUEST
+        assert not harness.pool.streaming_connections
