Measure the progress of an upload by the bytes that its endpoint has acknowledged

Callers would see: an upload rejected although its endpoint goes on reading it slowly, or reads on after a hang.

Cause: progress was counted when the transport's buffer was empty, and the system accepts more output only when a third of its buffer is free (over 1 MB on loopback): a slow reader made no progress for a long time.

Change: each scan compares the bytes that the endpoint's system has acknowledged (written, less what waits in the transport and in the socket).

Test: an endpoint that reads 128 KB every 25 s for 100 s.

--- a/quota_gateway/net/common/socket_calls.py
+++ b/quota_gateway/net/common/socket_calls.py
@@ -59,6 +59,19 @@
     return unread_size(transport) > 0
 
 
+def unacknowledged_size(transport: asyncio.Transport) -> int:
+    """Return the number of written bytes that the peer's system has not acknowledged; 0 if it is unknown."""
+    descriptor = transport.get_extra_info("socket").fileno()
+    if descriptor < 0:
+        return 0
+    try:
+        result = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(NATIVE_INT.size))
+    except OSError:
+        return 0
+    (size,) = NATIVE_INT.unpack(result)
+    return int(size)
+
+
 def read_available(transport: asyncio.Transport) -> bytes:
     """Return the next bytes that the socket has received; nothing if there are none, or after an error."""
     descriptor = transport.get_extra_info("socket").fileno()
--- a/quota_gateway/net/upstream/connection.py
+++ b/quota_gateway/net/upstream/connection.py
@@ -81,7 +81,7 @@
         self.exchange: Exchange | None = None
         self.idle_since: float | None = None  # by the owner's clock; None until its first release
         self.reused_at = 0.0  # when it was last taken from the idle connections, by the owner's clock
-        self._writer = RequestWriter(self, exchanges, owner.clock)
+        self._writer = RequestWriter(self, exchanges)
         self._receiver = ResponseReceiver(self, owner.clock)
 
     def send(self, exchange: Exchange, data: bytes) -> None:
--- a/quota_gateway/net/upstream/request_writer.py
+++ b/quota_gateway/net/upstream/request_writer.py
@@ -7,7 +7,8 @@
 
 from quota_gateway.model import CallStatus
 from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS
-from quota_gateway.net.upstream.exchange import Clock, Exchange, ExchangeEvents
+from quota_gateway.net.common.output_progress import OutputProgress
+from quota_gateway.net.upstream.exchange import Exchange, ExchangeEvents
 
 
 class WriterConnection(Protocol):
@@ -32,25 +33,23 @@
     """
 
     __slots__ = (
-        "_clock",
         "_connection",
         "_exchange",
         "_exchanges",
-        "_last_progress",
+        "_progress",
         "_transport",
         "_upload_finished",
         "has_unsent_bytes",
     )
 
-    def __init__(self, connection: WriterConnection, exchanges: ExchangeEvents, clock: Clock) -> None:
-        """Create the writer of a connection; ``clock`` returns seconds."""
+    def __init__(self, connection: WriterConnection, exchanges: ExchangeEvents) -> None:
+        """Create the writer of a connection."""
         self._exchanges = exchanges
         self._connection = connection
-        self._clock = clock
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None  # the one whose request is being written
         self._upload_finished = False  # whether the last chunk of the upload is passed to the transport
-        self._last_progress = 0.0  # when the upload last advanced, in seconds of the clock
+        self._progress = OutputProgress()
         # Whether the transport buffers bytes that the operating system has not accepted.
         self.has_unsent_bytes = False
 
@@ -59,12 +58,12 @@
         self._transport = transport
         self._exchange = exchange
         self._upload_finished = False
-        transport.write(data)
+        self._write(transport, data)
         if transport.is_closing():  # the write itself failed: no part of the request was sent
             self._exchange = None
             self._exchanges.complete(exchange, CallStatus.RESET_BEFORE_REQUEST)
         elif exchange.upload is not None:
-            self._last_progress = self._clock()
+            self._progress.restart()
             self._connection.on_upload_started()
             exchange.upload.attach(self, writable=not self.has_unsent_bytes)
         elif not self.has_unsent_bytes:
@@ -89,14 +88,23 @@
         if exchange is None:
             return
         if exchange.upload is not None and not self._upload_finished:
-            self._last_progress = self._clock()
             exchange.upload.set_writable(writable=True)
         else:
             self._finish_request(exchange)
 
     def is_stalled(self, now: float) -> bool:
-        """Whether the endpoint has accepted nothing of an upload for ``BODY_STALL_TIMEOUT_SECONDS``."""
-        return self.has_unsent_bytes and now - self._last_progress > BODY_STALL_TIMEOUT_SECONDS
+        """Whether the endpoint has accepted nothing of an upload for ``BODY_STALL_TIMEOUT_SECONDS``.
+
+        To be called at intervals while an upload is being written.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        return self._progress.seconds_without_progress(transport, now) > BODY_STALL_TIMEOUT_SECONDS
+
+    def _write(self, transport: asyncio.Transport, data: bytes) -> None:
+        self._progress.record_written(len(data))
+        transport.write(data)
 
     def _finish_request(self, exchange: Exchange) -> None:
         self._exchange = None
@@ -112,9 +120,8 @@
         if exchange is None or exchange.upload is None or not data:
             return
         assert self._transport is not None
-        self._last_progress = self._clock()
         is_chunked = exchange.upload.content_length is None
-        self._transport.write(b"%x\r\n%b\r\n" % (len(data), data) if is_chunked else data)
+        self._write(self._transport, b"%x\r\n%b\r\n" % (len(data), data) if is_chunked else data)
 
     def finish(self) -> None:
         """End the upload: all of its chunks are written."""
@@ -124,7 +131,7 @@
         assert self._transport is not None
         self._upload_finished = True
         if exchange.upload.content_length is None:
-            self._transport.write(b"0\r\n\r\n")
+            self._write(self._transport, b"0\r\n\r\n")
         if not self.has_unsent_bytes:
             self._finish_request(exchange)
 
--- a/tests/test_body_stalls.py
+++ b/tests/test_body_stalls.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
-import socket
 
 import pytest
 
@@ -12,16 +10,20 @@
 from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS, BodyStream
 from quota_gateway.net.upstream import pool
 from quota_gateway.net.upstream.exchange import Exchange
-from tests.http_bodies import LONG_BODY, read_head
-from tests.loopback import OK_RESPONSE, ConnectionHandler, async_test, read_message
+from tests.body_transfers import (
+    SCAN_SECONDS,
+    SlowReader,
+    begin_upload,
+    harness_for,
+    pass_time,
+    serve_slow_network,
+)
+from tests.http_bodies import LONG_BODY
+from tests.loopback import async_test, read_message
 from tests.pool_harness import ENDPOINT, REQUEST_HEAD, PoolHarness
 
 HANGS = [6.7, 14.9, 15.1, 19.0, 25.0]  # seconds; the pages name hangs of up to 25 s
 HALF = len(LONG_BODY) // 2
-SCAN_SECONDS = 0.01
-SCANS_SECONDS = 0.2  # real time in which several scans take place
-SEGMENT_BYTES = 1460
-RECEIVE_BUFFER_BYTES = 32 * 1024
 
 
 class Collector:
@@ -45,48 +47,11 @@
         return True
 
 
-class Uploader:
-    """The source of an upload that is in memory."""
-
-    def __init__(self, body: bytes) -> None:
-        self.stream = BodyStream(self, len(body))
-        self.stream.write(body)
-        self.stream.finish()
-
-    def set_paused(self, *, paused: bool) -> None:
-        """Do nothing: the body is in memory."""
-
-    def abandon(self) -> None:
-        """Do nothing: the body is in memory."""
-
-
 @pytest.fixture(autouse=True)
 def frequent_scans(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(pool, "SCAN_INTERVAL_SECONDS", SCAN_SECONDS)
 
 
-async def serve_slow_network(handle: ConnectionHandler) -> asyncio.Server:
-    """Return a server whose connections have ordinary segments and a small receive buffer."""
-    listening = socket.socket()
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
-    listening.bind(("127.0.0.1", 0))
-    return await asyncio.start_server(handle, sock=listening, limit=SEGMENT_BYTES)
-
-
-def harness_for(server: asyncio.Server) -> PoolHarness:
-    host, port = server.sockets[0].getsockname()
-    harness = PoolHarness(f"{host}:{port}")
-    harness.set_clock(harness.clock())
-    return harness
-
-
-async def pass_time(harness: PoolHarness, seconds: float) -> None:
-    """Let the pool's time pass, and several scans take place."""
-    harness.set_clock(harness.clock() + seconds)
-    await asyncio.sleep(SCANS_SECONDS)
-
-
 class HangingEndpoint:
     """Sends half of a long response, and the rest once it is released."""
 
@@ -138,35 +103,6 @@
         assert not harness.pool.streaming_connections
 
 
-class SlowReader:
-    """Reads as many bytes of a request as the test allows."""
-
-    def __init__(self) -> None:
-        self.allowed = asyncio.Queue[int]()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        _, headers = await read_head(reader)
-        remaining = int(headers["content-length"])
-        while remaining:
-            size = min(remaining, await self.allowed.get())
-            await reader.readexactly(size)
-            remaining -= size
-        writer.write(OK_RESPONSE)
-        await writer.drain()
-
-
-async def begin_upload(harness: PoolHarness) -> asyncio.Future[Exchange]:
-    """Begin an upload of which the endpoint accepts a part."""
-    completed: asyncio.Future[Exchange] = asyncio.get_running_loop().create_future()
-    head = b"POST /post HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n" % len(LONG_BODY)
-    upload = Uploader(LONG_BODY).stream
-    harness.pool.start(Exchange(ENDPOINT, head, b"", math.inf, completed.set_result, upload=upload))
-    while not harness.pool.streaming_connections:
-        await asyncio.sleep(SCAN_SECONDS)
-    await pass_time(harness, 0.0)
-    return completed
-
-
 @pytest.mark.parametrize("hang", HANGS)
 @async_test
 async def test_upload_is_whole_if_its_endpoint_hangs_and_goes_on(hang: float) -> None:
