Disconnect a client that accepts nothing of its response

Callers saw nothing; the limiter kept the connections of such a client, and the endpoint's, for ever.

Cause: the check of the stall ran only while reading was not paused (or the client was half-closed), and output that waits pauses reading. Output behind an idle close was not checked at all, and such a connection can't be evicted.

Change: each scan measures the bytes that the client's system has acknowledged, whatever the phase of the connection; after 30 s without progress the connection is aborted. A client that reads slowly makes progress.

--- a/quota_gateway/net/client/connection.py
+++ b/quota_gateway/net/client/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import Protocol, cast
 
 from quota_gateway.net.client.eviction import EvictionPriority, EvictionRank
@@ -11,8 +12,11 @@
 from quota_gateway.net.client.shared_state import SharedState
 from quota_gateway.net.client.stats import CAUSED_BY_LIMITER, CloseReason
 from quota_gateway.net.client.transport import ClientTransport
+from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS
 from quota_gateway.net.common.invariants import Invariant
 
+log = logging.getLogger(__name__)
+
 # An idle connection may be closed after 2 s, and a faulty client's connection must be closed within 3 s.
 IDLE_TIMEOUT_SECONDS = 2.05
 
@@ -98,7 +102,13 @@
     # Timeouts and eviction.
 
     def check_timeouts(self, now: float) -> None:
-        """Close an idle connection, and send an error to a slow client: both use a descriptor and memory."""
+        """Close an idle connection, and send an error to a slow client: both use a descriptor and memory.
+
+        A client that accepts no output is disconnected, also while its connection is closing.
+        """
+        if self.transport.seconds_without_progress(now) > BODY_STALL_TIMEOUT_SECONDS:
+            log.warning("a client accepted no data of its response")
+            self.abort(CloseReason.STALLED)
         if not self.transport.is_open:
             return
         if not self.pipeline.is_idle:
--- a/quota_gateway/net/client/request.py
+++ b/quota_gateway/net/client/request.py
@@ -77,7 +77,6 @@
     __slots__ = (
         "_chunked",
         "_connection",
-        "_last_progress_at",
         "_length_and_body",
         "_stream_head",
         "arrived_at",
@@ -110,7 +109,6 @@
         self._connection = connection
         self._chunked = False  # whether the streamed response uses the chunked framing
         self._length_and_body = b""  # rest of a complete response: Content-Length, empty line, body
-        self._last_progress_at = 0.0  # when the client last accepted data of the streamed response
         self._stream_head: bytes | None = None  # head of the streamed response, until it is written
         self.keep_alive = keep_alive
         self.is_http_1_0 = is_http_1_0
@@ -241,7 +239,6 @@
         if head is None or stream is None:
             return
         self._stream_head = None
-        self._last_progress_at = self._connection.shared.clock()
         self.keep_alive = self.keep_alive and not closes
         self._connection.write(head + (b"" if self.keep_alive else CONNECTION_CLOSE) + b"\r\n")
         stream.attach(self, writable=writable)
@@ -249,17 +246,11 @@
     def set_client_writable(self, *, writable: bool) -> None:
         """Record whether the client accepts data; the stream is read only while it does."""
         if self.response_stream is not None and self._stream_head is None:
-            self._last_progress_at = self._connection.shared.clock()
             self.response_stream.set_writable(writable=writable)
 
-    def seconds_without_progress(self, now: float) -> float:
-        """Return the time since the client last accepted data of the streamed response."""
-        return now - self._last_progress_at
-
     def write_chunk(self, data: bytes) -> None:
         """Write a part of the streamed response."""
         if data:
-            self._last_progress_at = self._connection.shared.clock()
             self._connection.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
 
     def finish(self) -> None:
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Protocol
 
 from quota_gateway.net.client.liveness import ClientLiveness
@@ -18,8 +17,6 @@
 from quota_gateway.net.client.unread_upload import UnreadUpload
 from quota_gateway.net.common.body_stream import BodyStream
 
-log = logging.getLogger(__name__)
-
 INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -242,13 +239,13 @@
     # Timeouts.
 
     def check_timeouts(self, now: float) -> None:
-        """Respond to a client that sends too slowly; abort one that accepts no data."""
+        """Respond to a client that sends too slowly; notice the disconnect of one whose input is not read."""
         if self.reader.body.upload is not None:
             self._check_upload(now)
         elif self.reader.in_request and not self._transport.reading_paused and self.reader.is_overdue(now):
             self.reject(408)  # also while earlier requests wait for their responses
-        elif self.queue:
-            self._check_response(now)
+        elif self.queue and self._transport.reading_paused and not self.liveness.input_ended:
+            self.liveness.poll()
 
     def _check_upload(self, now: float) -> None:
         if self._transport.reading_paused:
@@ -265,10 +262,3 @@
         now = self.shared.clock()
         if upload.is_complete(self.reader.body.missing_bytes):
             self._record_upload_arrival(now - (self._data_age() or 0.0))
-
-    def _check_response(self, now: float) -> None:
-        if self._transport.reading_paused and not self.liveness.input_ended:
-            self.liveness.poll()
-        elif self.queue.is_stalled(now):
-            log.warning("a client accepted no data of its streamed response")
-            self._closer.abort(CloseReason.STALLED)
--- a/quota_gateway/net/client/response_queue.py
+++ b/quota_gateway/net/client/response_queue.py
@@ -9,7 +9,6 @@
 from quota_gateway.net.client.request_intake import RequestIntake
 from quota_gateway.net.client.request_parser import BadRequestError
 from quota_gateway.net.client.shared_state import SharedState
-from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS
 
 MAX_PIPELINED_REQUESTS = 8  # unanswered requests of one connection; most clients send one at a time
 
@@ -88,12 +87,6 @@
         if self:
             self[0].set_client_writable(writable=not blocked)
 
-    def is_stalled(self, now: float) -> bool:
-        """Whether the client has stopped accepting the streamed response."""
-        first = self[0]
-        is_late = first.seconds_without_progress(now) > BODY_STALL_TIMEOUT_SECONDS
-        return first.response_stream is not None and self.write_blocked and is_late
-
     def unanswered_ids(self) -> list[str]:
         """Return the ids of the requests that have no response."""
         return [request.request_id.decode("latin-1") for request in self if not request.is_answered]
--- a/quota_gateway/net/client/transport.py
+++ b/quota_gateway/net/client/transport.py
@@ -7,6 +7,7 @@
 
 from quota_gateway.net.common import socket_calls
 from quota_gateway.net.common.http_common import MAX_STREAMED_BODY_BYTES, STREAM_RECEIVE_BUFFER_BYTES
+from quota_gateway.net.common.output_progress import OutputProgress
 from quota_gateway.net.common.socket_calls import PeerState
 
 # How long a half-closed connection discards input before it is closed. Closing at once could cause a reset,
@@ -41,6 +42,7 @@
         "_discarded_bytes",
         "_linger_seconds",
         "_max_discarded_bytes",
+        "_progress",
         "_transport",
         "phase",
         "reading_paused",
@@ -52,6 +54,7 @@
         self._discarded_bytes = 0
         self._linger_seconds = LINGER_SECONDS
         self._max_discarded_bytes = MAX_DISCARDED_BYTES
+        self._progress = OutputProgress()
         self.phase = TransportPhase.CONNECTING
         self.reading_paused = False
 
@@ -96,6 +99,15 @@
         """Whether a part of the output has not been passed to the operating system."""
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
+    def seconds_without_progress(self, now: float) -> float:
+        """Return for how long the client has accepted none of the output that waits in this process.
+
+        To be called in each scan.
+        """
+        if self._transport is None:
+            return 0.0
+        return self._progress.seconds_without_progress(self._transport, now)
+
     def unread_size(self) -> int:
         """Return the number of bytes that the socket has received and the event loop has not read."""
         return 0 if self._transport is None else socket_calls.unread_size(self._transport)
@@ -118,6 +130,7 @@
         """Write ``data`` if the transport is open; otherwise do nothing."""
         transport = self._transport
         if self.phase is _OPEN and transport is not None and not transport.is_closing():
+            self._progress.record_written(len(data))
             transport.write(data)
 
     def set_reading_paused(self, *, paused: bool) -> None:
