Do not abort a response whose next part waits unread

Callers would see a long answer cut off if this process stood still for a while and its scan ran before the reading of the part that had arrived meanwhile.

Change: the stall check of a response looks for unread input of the endpoint's connection first.

Test: the scan is forced between the arrival and the reading; it fails on the code before (truncated, 3 of 3 runs), passes now.

--- a/quota_gateway/net/upstream/response_source.py
+++ b/quota_gateway/net/upstream/response_source.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from quota_gateway.net.common.body_stream import BODY_STALL_TIMEOUT_SECONDS
+from quota_gateway.net.common.socket_calls import has_unread_input
 from quota_gateway.net.upstream.exchange import Clock
 
 
@@ -41,7 +42,11 @@
 
     def is_stalled(self, now: float) -> bool:
         """Whether the endpoint has sent nothing of the response for ``BODY_STALL_TIMEOUT_SECONDS``."""
-        return not self.is_paused and now - self._last_progress > BODY_STALL_TIMEOUT_SECONDS
+        if self.is_paused or now - self._last_progress <= BODY_STALL_TIMEOUT_SECONDS:
+            return False
+        transport = self._connection.transport
+        # After a stall of this process, a part of the response may be unread.
+        return transport is None or not has_unread_input(transport)
 
     def set_paused(self, *, paused: bool) -> None:
         """Pause or resume reading."""
--- a/tests/test_body_stalls.py
+++ b/tests/test_body_stalls.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 
 import pytest
 
@@ -12,6 +14,7 @@
 from quota_gateway.net.upstream.exchange import Exchange
 from tests.body_transfers import (
     SCAN_SECONDS,
+    SCANS_SECONDS,
     SlowReader,
     begin_upload,
     harness_for,
@@ -103,6 +106,32 @@
         assert not harness.pool.streaming_connections
 
 
+@async_test
+async def test_response_is_whole_if_this_process_stands_still_before_it_reads_the_next_part() -> None:
+    """Guards against long responses that are cut off although their next part has arrived."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        host, port = listening.getsockname()
+        harness = PoolHarness(f"{host}:{port}")
+        harness.set_clock(harness.clock())
+        async with harness:
+            beginning = asyncio.create_task(begin_response(harness))
+            endpoint, _address = await asyncio.to_thread(listening.accept)
+            with endpoint:
+                endpoint.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LONG_BODY))
+                await asyncio.to_thread(endpoint.sendall, LONG_BODY[:HALF])
+                collector = await beginning
+
+                def stand_still() -> None:
+                    endpoint.sendall(LONG_BODY[HALF : HALF + 1])
+                    harness.set_clock(harness.clock() + BODY_STALL_TIMEOUT_SECONDS + 1)
+
+                # When both timers are due, the scan follows at once, before the event loop reads the socket.
+                asyncio.get_running_loop().call_later(SCAN_SECONDS / 10, stand_still)
+                time.sleep(SCANS_SECONDS)
+                await asyncio.to_thread(endpoint.sendall, LONG_BODY[HALF + 1 :])
+                assert await collector.is_whole
+
+
 @pytest.mark.parametrize("hang", HANGS)
 @async_test
 async def test_upload_is_whole_if_its_endpoint_hangs_and_goes_on(hang: float) -> None:
