Answer a client that stops within an upload while its endpoint accepts nothing

Clients saw: no error and no close for as long as the endpoint accepted nothing, although one that stops within a request is owed either within 3 s.

Cause: no time of an upload counts while reading is paused.

Tests: two fail on the code before (no answer in 5 s, with the timeout shortened there too), pass now; a client whose input is not accepted is not taken for silent, before and after.

--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -6,6 +6,7 @@
 
 from quota_gateway.net.client.liveness import ClientLiveness
 from quota_gateway.net.client.request import ClientRequest
+from quota_gateway.net.client.request_body import SILENCE_TIMEOUT_SECONDS
 from quota_gateway.net.client.request_head import RequestHead
 from quota_gateway.net.client.request_intake import RequestIntake
 from quota_gateway.net.client.request_parser import BadRequestError
@@ -250,15 +251,17 @@
     def _check_upload(self, now: float) -> None:
         if self._transport.reading_paused:
             self.liveness.poll()
-            self._check_unread_upload()
-        if self._transport.is_open and self.reader.body.is_upload_stalled(now):
+            self._check_unread_upload(now)
+        elif self._transport.is_open and self.reader.body.is_upload_stalled(now):
             self._intake.time_out_upload(self.queue[-1])
 
-    def _check_unread_upload(self) -> None:
-        """Start the timeout of an upload whose last byte has arrived but cannot be read yet."""
+    def _check_unread_upload(self, now: float) -> None:
+        """Start the timeout of an upload whose last byte waits unread; end one whose client has stopped."""
         upload = self._unread_upload
         if upload is None or not self._transport.is_open or self.queue[-1].has_arrived:
             return
-        now = self.shared.clock()
+        upload.observe(now)
         if upload.is_complete(self.reader.body.missing_bytes):
             self._record_upload_arrival(now - (self._data_age() or 0.0))
+        elif upload.is_client_silent(now, SILENCE_TIMEOUT_SECONDS):
+            self._intake.time_out_upload(self.queue[-1])
--- a/quota_gateway/net/client/transport.py
+++ b/quota_gateway/net/client/transport.py
@@ -118,6 +118,10 @@
             return b""
         return socket_calls.peek(self._transport.get_extra_info("socket").fileno(), size)
 
+    def receive_buffer_usage(self) -> float | None:
+        """Return the fraction of the receive buffer that is in use; None if it is unknown."""
+        return None if self._transport is None else socket_calls.receive_buffer_usage(self._transport)
+
     def _writable_transport(self) -> asyncio.Transport | None:
         if self.phase is not _OPEN:
             return None
--- a/quota_gateway/net/client/unread_upload.py
+++ b/quota_gateway/net/client/unread_upload.py
@@ -1,4 +1,4 @@
-"""Detects that the rest of an upload waits unread in the socket while reading is paused."""
+"""Observes an upload while reading is paused: its rest may wait unread, or its client may have stopped."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 # The end of a chunked body (RFC 9112, 7.1): the last chunk, then trailers if there are any.
 END_OF_CHUNKED_BODY = re.compile(rb"\r\n0+[ \t]*(?:;[^\r\n]*)?\r\n(?:[^\r\n]+\r\n)*\r\n\Z")
 MAX_END_BYTES = 4096  # the end is searched for in this many bytes; longer trailers are not recognized
+# Up to this fraction of the receive buffer in use, the client can send more (its window is open).
+MAX_OPEN_WINDOW_USAGE = 0.5
 
 
 class InputSocket(Protocol):
@@ -19,38 +21,58 @@
     def peek_input(self, size: int) -> bytes:
         """Return up to ``size`` received bytes without reading them."""
 
+    def receive_buffer_usage(self) -> float | None:
+        """Return the fraction of the receive buffer that is in use; None if it is unknown."""
+
 
 class UnreadUpload:
-    """Knows whether the client has sent all of an upload, of which some is unread.
+    """The unread part of an upload, as successive calls of ``observe`` see it.
 
     The timeout of the request runs from its last byte, whether or not the limiter has read it. The end of a
-    chunked body is recognized by its last bytes, once no input has arrived between two calls.
+    chunked body is recognized by its last bytes, once no input has arrived between two observations.
     """
 
-    __slots__ = ("_last_read", "_quiet_size", "_socket")
+    __slots__ = ("_last_read", "_quiet_since", "_size", "_socket")
 
     def __init__(self, input_socket: InputSocket) -> None:
-        """Observe the uploads on one connection."""
+        """Observe an upload on one connection."""
         self._socket = input_socket
         self._last_read = b""  # the last bytes that were read
-        self._quiet_size = 0  # unread bytes at the last call, or 0
+        self._size: int | None = None  # unread bytes; None before the first observation after a read
+        self._quiet_since: float | None = None  # since when their number is the same; None if it has changed
 
     def record_read(self, data: bytes) -> None:
         """Record input that has been read: the end of a chunked body may be read in part."""
-        self._quiet_size = 0
+        self._size = None
+        self._quiet_since = None
         self._last_read = (self._last_read + data[-MAX_END_BYTES:])[-MAX_END_BYTES:]
 
+    def observe(self, now: float) -> None:
+        """Look at the unread input at ``now``, in seconds; to be called at intervals."""
+        size = self._socket.unread_size()
+        if size != self._size:
+            self._quiet_since = None
+        elif self._quiet_since is None:
+            self._quiet_since = now
+        self._size = size
+
     def is_complete(self, missing_bytes: int | None) -> bool:
         """Whether all input of the upload has arrived.
 
         ``missing_bytes``: bytes of the body that have not been read; None if its length is unknown.
         """
-        unread_size = self._socket.unread_size()
+        if not self._size:
+            return False
         if missing_bytes is not None:
-            return unread_size >= missing_bytes
-        is_quiet = unread_size == self._quiet_size
-        self._quiet_size = unread_size
-        return is_quiet and unread_size > 0 and self._ends_chunked_body(unread_size)
+            return self._size >= missing_bytes
+        return self._quiet_since is not None and self._ends_chunked_body(self._size)
+
+    def is_client_silent(self, now: float, timeout: float) -> bool:
+        """Whether the client has sent nothing for ``timeout`` seconds although it can send more."""
+        if self._quiet_since is None or now - self._quiet_since <= timeout:
+            return False
+        usage = self._socket.receive_buffer_usage()
+        return usage is not None and usage <= MAX_OPEN_WINDOW_USAGE
 
     def _ends_chunked_body(self, unread_size: int) -> bool:
         unread = self._socket.peek_input(unread_size)
--- a/quota_gateway/net/common/socket_calls.py
+++ b/quota_gateway/net/common/socket_calls.py
@@ -19,6 +19,8 @@
 RETRANSMISSION_TIMEOUT_OFFSET = 8  # offset of tcpi_rto, which is never 0 if the system fills in the structure
 LAST_DATA_RECEIVED_OFFSET = 52  # offset of tcpi_last_data_recv: milliseconds since the last data segment
 MILLISECONDS_PER_SECOND = 1000
+SO_MEMINFO = 55  # Linux: memory of a socket, as numbers of 32 bits
+MEMORY_INFO = struct.Struct("II")  # the first two: bytes allocated for received data, and their limit
 
 
 class PeerState(enum.Enum):
@@ -122,6 +124,15 @@
         transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
+def receive_buffer_usage(transport: asyncio.Transport) -> float | None:
+    """Return the fraction of the socket's receive buffer that is in use; None if it is unknown."""
+    with contextlib.suppress(OSError, struct.error):
+        data = transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMORY_INFO.size)
+        allocated, limit = MEMORY_INFO.unpack(data)
+        return float(allocated / limit) if limit else None
+    return None
+
+
 def shut_down_sending(transport: asyncio.Transport) -> None:
     """Shut down the sending side at once; the event loop would do so in a later iteration."""
     descriptor = transport.get_extra_info("socket").fileno()
--- a/tests/test_unread_upload.py
+++ b/tests/test_unread_upload.py
@@ -8,9 +8,10 @@
 import pytest
 
 from quota_gateway import model
+from quota_gateway.net.client import request_pipeline
 from quota_gateway.net.client.unread_upload import MAX_END_BYTES, UnreadUpload
 from tests.client_helpers import limiter_with_endpoint, take_no_action
-from tests.http_bodies import upload_head
+from tests.http_bodies import LONG_BODY, upload, upload_head
 from tests.loopback import (
     LoopbackLimiter,
     ScriptedDecisions,
@@ -28,8 +29,9 @@
 class FakeSocket:
     """A socket with the given unread input."""
 
-    def __init__(self, unread: bytes) -> None:
+    def __init__(self, unread: bytes, usage: float | None = 0.0) -> None:
         self.unread = unread
+        self.usage = usage
 
     def unread_size(self) -> int:
         return len(self.unread)
@@ -37,9 +39,14 @@
     def peek_input(self, size: int) -> bytes:
         return self.unread[:size]
 
+    def receive_buffer_usage(self) -> float | None:
+        return self.usage
+
 
 def is_complete_when_quiet(upload: UnreadUpload) -> bool:
+    upload.observe(1.0)
     assert not upload.is_complete(None)  # more input may follow
+    upload.observe(1.2)
     return upload.is_complete(None)
 
 
@@ -47,7 +54,9 @@
 def test_upload_of_known_length_is_complete_once_the_missing_bytes_have_arrived(
     unread: int, is_complete: bool
 ) -> None:
-    assert UnreadUpload(FakeSocket(b"x" * unread)).is_complete(100) is is_complete
+    upload = UnreadUpload(FakeSocket(b"x" * unread))
+    upload.observe(1.0)
+    assert upload.is_complete(100) is is_complete
 
 
 @pytest.mark.parametrize("end", [b"0\r\n\r\n", b"000;a=b\r\n\r\n", b"0\r\nX-A: 1\r\nX-B: 2\r\n\r\n"])
@@ -56,8 +65,7 @@
     end: bytes, read_size: int
 ) -> None:
     data = b"xy\r\n" + end
-    input_socket = FakeSocket(data[2 + read_size :])
-    upload = UnreadUpload(input_socket)
+    upload = UnreadUpload(FakeSocket(data[2 + read_size :]))
     upload.record_read(data[:2])
     upload.record_read(data[2 : 2 + read_size])
     assert is_complete_when_quiet(upload)
@@ -76,12 +84,27 @@
 def test_chunked_upload_is_not_examined_while_input_arrives() -> None:
     input_socket = FakeSocket(b"\r\n0\r\n\r\n")
     upload = UnreadUpload(input_socket)
-    assert not upload.is_complete(None)
+    upload.observe(1.0)
     input_socket.unread += b"more\r\n0\r\n\r\n"
+    upload.observe(1.2)
     assert not upload.is_complete(None)
+    upload.observe(1.4)
     assert upload.is_complete(None)
 
 
+@pytest.mark.parametrize(("usage", "is_silent"), [(0.1, True), (0.9, False), (None, False)])
+def test_client_is_silent_only_if_it_could_send_more(usage: float | None, is_silent: bool) -> None:
+    input_socket = FakeSocket(b"x", usage)
+    upload = UnreadUpload(input_socket)
+    for now in (1.0, 1.2, 3.1):
+        upload.observe(now)
+        assert not upload.is_client_silent(now, 2.0)
+    assert upload.is_client_silent(3.3, 2.0) is is_silent
+    input_socket.unread += b"y"
+    upload.observe(3.3)
+    assert not upload.is_client_silent(9.9, 2.0)
+
+
 async def send_all(client: socket.socket, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     client.sendall(data)
     client.setblocking(False)  # noqa: FBT003 - positional only
@@ -144,3 +167,41 @@
         assert pending.deadline == deadline  # reading the end did not start the timeout again
         assert len(await script.wait_for(model.UploadCompleted)) == 1
         writer.close()
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@async_test
+async def test_client_that_stops_within_an_upload_that_is_not_read_gets_an_error(
+    framing: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against clients that stop within a body and get no error while an endpoint accepts nothing."""
+    monkeypatch.setattr(request_pipeline, "SILENCE_TIMEOUT_SECONDS", 0.3)
+    endpoint = PausedEndpoint()
+    async with limiter_with_endpoint(endpoint.serve, ScriptedDecisions(take_no_action)) as limiter:
+        client = socket.create_connection(limiter.address)
+        head = upload_head(framing, 3 * LENGTH, timeout_ms=300)
+        client.sendall(head + (b"%x\r\n" % (3 * LENGTH) if framing == "chunked" else b"") + b"x" * LENGTH)
+        while not any(other.pipeline.reader.body.paused for other in limiter.listener.connections):
+            await asyncio.sleep(0.01)
+        reader, writer = await send_all(client, b"x" * 1000)
+        async with asyncio.timeout(ANSWER_SECONDS):
+            assert " 408 " in (await read_message(reader))[0]
+        writer.close()
+
+
+@async_test
+async def test_client_whose_input_is_not_accepted_is_not_taken_for_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(request_pipeline, "SILENCE_TIMEOUT_SECONDS", 0.3)
+    endpoint = PausedEndpoint()
+    body = LONG_BODY * 4  # more than all buffers on the way hold
+    async with limiter_with_endpoint(endpoint.serve) as limiter:
+        reader, writer = await limiter.connect()
+        writer.write(upload("length", body))
+        while not any(other.pipeline.reader.body.paused for other in limiter.listener.connections):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(1.0)
+        endpoint.resume.set()
+        assert await endpoint.body_size == len(body)
+        assert (await read_message(reader))[2] == b"hi"
