--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -4,9 +4,9 @@
 
 from typing import Protocol
 
+from quota_gateway.net.client.arrival_times import ArrivalTimes
 from quota_gateway.net.client.liveness import ClientLiveness
 from quota_gateway.net.client.request import ClientRequest
-from quota_gateway.net.client.request_body import SILENCE_TIMEOUT_SECONDS
 from quota_gateway.net.client.request_head import RequestHead
 from quota_gateway.net.client.request_intake import RequestIntake
 from quota_gateway.net.client.request_parser import BadRequestError
@@ -16,6 +16,7 @@
 from quota_gateway.net.client.stats import CloseReason
 from quota_gateway.net.client.transport import ClientTransport
 from quota_gateway.net.client.unread_upload import UnreadUpload
+from quota_gateway.net.client.upload_monitor import UploadMonitor
 from quota_gateway.net.common.body_stream import BodyStream
 
 INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -38,10 +39,11 @@
     """
 
     __slots__ = (
+        "_arrival_times",
         "_closer",
         "_intake",
         "_transport",
-        "_unread_upload",
+        "_upload_monitor",
         "liveness",
         "queue",
         "reader",
@@ -55,11 +57,12 @@
         self._transport = transport
         self._closer = closer
         self._intake = intake
-        self._unread_upload: UnreadUpload | None = None  # None before the first upload
+        self._upload_monitor: UploadMonitor | None = None  # of the upload that is being received, if any
         self.shared = shared
         self.reader = RequestReader(self, shared.clock)
         self.liveness = ClientLiveness(transport, self, shared.clock)
         self.queue = ResponseQueue(transport, shared)
+        self._arrival_times = ArrivalTimes(transport, self.liveness, shared)
 
     @property
     def is_idle(self) -> bool:
@@ -98,8 +101,8 @@
             return
         self.shared.stalls.record_iteration(self.shared.clock())
         self.reader.feed(data)
-        if self._unread_upload is not None:
-            self._unread_upload.record_read(data)
+        if self._upload_monitor is not None:
+            self._upload_monitor.record_read(data)
 
     def on_request_started(self, *, is_first: bool) -> float:
         """Return the time at which the timeouts of a request begin; for the first one, it is the connect."""
@@ -114,17 +117,16 @@
         self, head: RequestHead, body: bytes, upload: BodyStream | None, *, keep_alive: bool
     ) -> None:
         """Queue a request and pass it to the intake; raise BadRequestError if it was answered as invalid."""
-        if upload is not None:
-            self._transport.limit_receive_buffer()
-            self._unread_upload = UnreadUpload(self._transport)
         request = ClientRequest(
             self,
             keep_alive=keep_alive,
             is_http_1_0=head.http_version == "1.0",
             upload=upload,
-            arrived_at=self._record_arrival(),
+            arrived_at=self._arrival_times.record_read(),
         )
         self.queue.append(request)
+        if upload is not None:
+            self._begin_upload(request)
         try:
             self._intake.accept(request, head, body)
         except BadRequestError as error:
@@ -135,35 +137,17 @@
         if self.queue:  # otherwise its response was written already, which called update_reading
             self.update_reading()
 
+    def _begin_upload(self, request: ClientRequest) -> None:
+        self._transport.limit_receive_buffer()
+        unread = UnreadUpload(self._transport)
+        self._upload_monitor = UploadMonitor(request, unread, self._arrival_times, self._intake)
+
     def on_upload_completed(self) -> None:
         """Record the arrival of the last request's upload, which has been read completely."""
-        self._unread_upload = None
-        self._record_upload_arrival(self._record_arrival())
-
-    def _record_upload_arrival(self, at: float) -> None:
-        """Notify the handler, once, that the last byte of the last request's upload has arrived."""
-        request = self.queue[-1]
-        if not request.has_arrived:
-            request.record_arrival(at)
-            self._intake.complete_upload(request)
-
-    def _data_age(self) -> float | None:
-        """Return the seconds since the last input arrived; None if the system does not report them."""
-        return self._transport.seconds_since_last_data() if self.shared.reports_data_age else None
-
-    def _record_arrival(self) -> float:
-        """Return the time at which the last input arrived, which may be some time before it was read.
-
-        The client was connected at that time, which is recorded too.
-        """
-        # The clock is read first: a stall after that can only make the arrival appear earlier.
-        now = self.shared.clock()
-        data_age = self._data_age()
-        if data_age is None:
-            self.liveness.record_seen(self.shared.stalls.input_arrived_after(now))
-            return now
-        self.liveness.record_seen(now - data_age)
-        return now - data_age
+        monitor = self._upload_monitor
+        assert monitor is not None
+        self._upload_monitor = None
+        monitor.on_read_completely()
 
     def reject(self, status: int) -> None:
         """Respond to malformed or overdue input after the queued requests, and close the connection."""
@@ -251,17 +235,7 @@
     def _check_upload(self, now: float) -> None:
         if self._transport.reading_paused:
             self.liveness.poll()
-            self._check_unread_upload(now)
+            if self._upload_monitor is not None and self._transport.is_open:
+                self._upload_monitor.check_unread(now, self.reader.body.missing_bytes)
         elif self._transport.is_open and self.reader.body.is_upload_stalled(now):
             self._intake.time_out_upload(self.queue[-1])
-
-    def _check_unread_upload(self, now: float) -> None:
-        """Start the timeout of an upload whose last byte waits unread; end one whose client has stopped."""
-        upload = self._unread_upload
-        if upload is None or not self._transport.is_open or self.queue[-1].has_arrived:
-            return
-        upload.observe(now)
-        if upload.is_complete(self.reader.body.missing_bytes):
-            self._record_upload_arrival(now - (self._data_age() or 0.0))
-        elif upload.is_client_silent(now, SILENCE_TIMEOUT_SECONDS):
-            self._intake.time_out_upload(self.queue[-1])
--- a/quota_gateway/net/client/unread_upload.py
+++ b/quota_gateway/net/client/unread_upload.py
@@ -32,28 +32,28 @@
     chunked body is recognized by its last bytes, once no input has arrived between two observations.
     """
 
-    __slots__ = ("_last_read", "_quiet_since", "_size", "_socket")
+    __slots__ = ("_last_read", "_size", "_socket", "_unchanged_since")
 
     def __init__(self, input_socket: InputSocket) -> None:
         """Observe an upload on one connection."""
         self._socket = input_socket
         self._last_read = b""  # the last bytes that were read
         self._size: int | None = None  # unread bytes; None before the first observation after a read
-        self._quiet_since: float | None = None  # since when their number is the same; None if it has changed
+        self._unchanged_since: float | None = None  # None if their number has changed
 
     def record_read(self, data: bytes) -> None:
         """Record input that has been read: the end of a chunked body may be read in part."""
         self._size = None
-        self._quiet_since = None
+        self._unchanged_since = None
         self._last_read = (self._last_read + data[-MAX_END_BYTES:])[-MAX_END_BYTES:]
 
     def observe(self, now: float) -> None:
         """Look at the unread input at ``now``, in seconds; to be called at intervals."""
         size = self._socket.unread_size()
         if size != self._size:
-            self._quiet_since = None
-        elif self._quiet_since is None:
-            self._quiet_since = now
+            self._unchanged_since = None
+        elif self._unchanged_since is None:
+            self._unchanged_since = now
         self._size = size
 
     def is_complete(self, missing_bytes: int | None) -> bool:
@@ -65,11 +65,11 @@
             return False
         if missing_bytes is not None:
             return self._size >= missing_bytes
-        return self._quiet_since is not None and self._ends_chunked_body(self._size)
+        return self._unchanged_since is not None and self._ends_chunked_body(self._size)
 
     def is_client_silent(self, now: float, timeout: float) -> bool:
         """Whether the client has sent nothing for ``timeout`` seconds although it can send more."""
-        if self._quiet_since is None or now - self._quiet_since <= timeout:
+        if self._unchanged_since is None or now - self._unchanged_since <= timeout:
             return False
         usage = self._socket.receive_buffer_usage()
         return usage is not None and usage <= MAX_OPEN_WINDOW_USAGE
--- a/tests/test_unread_upload.py
+++ b/tests/test_unread_upload.py
@@ -8,7 +8,7 @@
 import pytest
 
 from quota_gateway import model
-from quota_gateway.net.client import request_pipeline
+from quota_gateway.net.client import upload_monitor
 from quota_gateway.net.client.unread_upload import MAX_END_BYTES, UnreadUpload
 from tests.client_helpers import limiter_with_endpoint, take_no_action
 from tests.http_bodies import LONG_BODY, upload, upload_head
@@ -175,7 +175,7 @@
     framing: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against clients that stop within a body and get no error while an endpoint accepts nothing."""
-    monkeypatch.setattr(request_pipeline, "SILENCE_TIMEOUT_SECONDS", 0.3)
+    monkeypatch.setattr(upload_monitor, "SILENCE_TIMEOUT_SECONDS", 0.3)
     endpoint = PausedEndpoint()
     async with limiter_with_endpoint(endpoint.serve, ScriptedDecisions(take_no_action)) as limiter:
         client = socket.create_connection(limiter.address)
@@ -193,7 +193,7 @@
 async def test_client_whose_input_is_not_accepted_is_not_taken_for_silent(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(request_pipeline, "SILENCE_TIMEOUT_SECONDS", 0.3)
+    monkeypatch.setattr(upload_monitor, "SILENCE_TIMEOUT_SECONDS", 0.3)
     endpoint = PausedEndpoint()
     body = LONG_BODY * 4  # more than all buffers on the way hold
     async with limiter_with_endpoint(endpoint.serve) as limiter:
