--- a/quota_gateway/decisions/account_table.py
+++ b/quota_gateway/decisions/account_table.py
@@ -44,7 +44,7 @@
         """Remove the accounts that have neither recent requests nor open attempts."""
         for key, account in list(self.accounts.items()):
             is_idle = now - account.updated_at > IDLE_ACCOUNT_SECONDS and not account.open_attempts
-            # An account with a partly used ceiling is kept: a new one would start with a full ceiling.
+            # An account with a partly used ceiling is retained: a new one would start with a full ceiling.
             if is_idle and account.is_ceiling_full(now):
                 del self.by_counter_id[account.counter_id]
                 del self.accounts[key]
--- a/quota_gateway/net/client/arrival_times.py
+++ b/quota_gateway/net/client/arrival_times.py
@@ -13,7 +13,7 @@
     __slots__ = ("_liveness", "_shared", "_transport")
 
     def __init__(self, transport: ClientTransport, liveness: ClientLiveness, shared: SharedState) -> None:
-        """Determine the times of a connection; ``liveness`` is told when its client was seen."""
+        """Determine the times of a connection; ``liveness`` records when its client was seen."""
         self._transport = transport
         self._liveness = liveness
         self._shared = shared
--- a/quota_gateway/net/common/late_input.py
+++ b/quota_gateway/net/common/late_input.py
@@ -30,7 +30,7 @@
         self._is_reading = False
 
     def add_source(self, read: Callable[[], None]) -> None:
-        """Add a source; ``read`` handles what it has received, and blocks for 0.1 s at most."""
+        """Add a source; ``read`` handles the input of the source, and blocks for 0.1 s at most."""
         self._sources.append(read)
 
     def read_if_due(self) -> None:
--- a/quota_gateway/net/common/metrics.py
+++ b/quota_gateway/net/common/metrics.py
@@ -34,7 +34,7 @@
         self.register_classes(classes)
 
     def register_classes(self, classes: Iterable[str]) -> None:
-        """Include these request classes from now on; the counts of all other classes are kept."""
+        """Include these request classes from now on; the counts of all other classes are retained."""
         for request_class in classes:
             if request_class not in self._requests_by_class:
                 self._requests_by_class[request_class] = _RequestCounts()
--- a/quota_gateway/net/discovery/client.py
+++ b/quota_gateway/net/discovery/client.py
@@ -83,8 +83,8 @@
     def read_received(self) -> None:
         """Handle the events that have arrived and that the event loop has not read yet.
 
-        If no watch is open and the process was stalled since the last poll, ask the agent at once: the drain
-        notice of a change may have passed.
+        If no watch is open and the process was stalled since the last poll, request the list at once: the
+        drain notice of a change may have passed.
         """
         for watch in (self._established, self._candidate):
             if watch is not None:
--- a/quota_gateway/net/discovery/contact.py
+++ b/quota_gateway/net/discovery/contact.py
@@ -9,7 +9,7 @@
     """The last contact with discovery, at any of its addresses. Times are of the event loop's clock.
 
     The list is confirmed while a watch is open and nothing on it is unread. An unanswered request confirms it
-    too: a discovery that is down has no news.
+    too: a discovery that is down sends no update.
     """
 
     __slots__ = ("_last_line_at", "confirmed_at")
--- a/quota_gateway/net/discovery/poll_timing.py
+++ b/quota_gateway/net/discovery/poll_timing.py
@@ -33,7 +33,7 @@
     def max_unconfirmed_seconds(self) -> float:
         """The longest time without a confirmation of the list, in seconds, unless the process is stalled.
 
-        The drain notice of a local agent is longer. A polled discovery is not asked ahead of time.
+        The drain notice of a local agent is longer. A polled discovery is not polled ahead of time.
         """
         return MAX_UNCONFIRMED_POLLS * self.max_interval if self.is_local_agent else math.inf
 
--- a/quota_gateway/net/dispatch/pending_request.py
+++ b/quota_gateway/net/dispatch/pending_request.py
@@ -14,7 +14,7 @@
     """A request from its arrival to its final response, with its attempts in their order.
 
     Its class and its maximum number of attempts come from the settings at its arrival. It has no deadline
-    while its upload is being received.
+    before the last byte of its upload has arrived.
     """
 
     __slots__ = ("attempts", "deadline", "event", "max_attempts", "request", "request_class", "timer")
@@ -37,7 +37,7 @@
 
     @property
     def has_deadline(self) -> bool:
-        """Whether the request has been received completely, so that its timeout has started."""
+        """Whether the last byte of the request has arrived, so that its timeout has started."""
         return self.deadline < math.inf
 
     def start_deadline(self, deadline: float, timer: asyncio.TimerHandle) -> None:
--- a/quota_gateway/net/process_group/group.py
+++ b/quota_gateway/net/process_group/group.py
@@ -194,7 +194,7 @@
             self._on_handover(state)
 
     def close(self) -> None:
-        """Stop polling and leave the group."""
+        """Stop polling, and end the membership in the group."""
         if self._poll_timer is not None:
             self._poll_timer.cancel()
             self._poll_timer = None
--- a/quota_gateway/net/process_group/membership.py
+++ b/quota_gateway/net/process_group/membership.py
@@ -125,7 +125,7 @@
 
 
 def _files_of(directory: Path, process_file: str) -> tuple[Path, ...]:
-    """Return the paths of all files of a process, including temporary ones; its process file comes last."""
+    """Return the paths of all files of a process, including temporary ones; the process file is the last."""
     return (
         accepting_path(directory, process_file),
         handover_path(directory, process_file),
