State the time that is left in attempts at uploads whose last byte waits unread

Endpoints saw more time than the client had: an attempt at an upload stated the whole timeout, although the last byte had arrived up to seconds before and waited unread. Allowed are 0.15 s.

Cause: the timeout of an upload runs from its last byte, and the arrival was noticed by the reading, or since by a scan.

Change: before each write the limiter looks whether the last byte has arrived; and the age of the input is subtracted when an upload is registered, for the first attempt at one that arrived during a stall, which is written while the body is still being parsed.

--- a/quota_gateway/net/client/request.py
+++ b/quota_gateway/net/client/request.py
@@ -54,6 +54,9 @@
     def write_responses(self) -> None:
         """Write the responses that are ready, in the order of their requests."""
 
+    def check_unread_upload(self) -> None:
+        """Start the timeout of an upload whose last byte waits unread."""
+
     def on_stream_finished(self, request: ClientRequest) -> None:
         """Write the responses that follow a completely written streamed one."""
 
@@ -155,8 +158,10 @@
     def may_begin_attempt(self) -> bool:
         """Whether an attempt may begin for the client.
 
-        It may not if the client has disconnected, or ended its input more than a short grace period ago.
+        It may not if the client has disconnected, or ended its input more than a short grace period ago. The
+        timeout of the request starts if its last byte has arrived.
         """
+        self._connection.check_unread_upload()
         return self._connection.liveness.may_begin_attempt()
 
     # The response.
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -149,6 +149,11 @@
         self._upload_monitor = None
         monitor.on_read_completely()
 
+    def check_unread_upload(self) -> None:
+        """Start the timeout of an upload whose last byte waits unread: an attempt is about to state it."""
+        if self._upload_monitor is not None:
+            self._upload_monitor.check_arrival(self.shared.clock(), self.reader.body.missing_bytes)
+
     def reject(self, status: int) -> None:
         """Respond to malformed or overdue input after the queued requests, and close the connection."""
         self.reader.stop()
--- a/quota_gateway/net/client/unread_upload.py
+++ b/quota_gateway/net/client/unread_upload.py
@@ -61,11 +61,18 @@
 
         ``missing_bytes``: bytes of the body that have not been read; None if its length is unknown.
         """
-        if not self._size:
+        if missing_bytes is None and self._unchanged_since is None:
+            return False
+        return self.has_end(missing_bytes)
+
+    def has_end(self, missing_bytes: int | None) -> bool:
+        """Whether the unread input has, or seems to have if the body is chunked, the end of the upload."""
+        unread_size = self._socket.unread_size()
+        if not unread_size:
             return False
         if missing_bytes is not None:
-            return self._size >= missing_bytes
-        return self._unchanged_since is not None and self._ends_chunked_body(self._size)
+            return unread_size >= missing_bytes
+        return self._ends_chunked_body(unread_size)
 
     def is_client_silent(self, now: float, timeout: float) -> bool:
         """Whether the client has sent nothing for ``timeout`` seconds although it can send more."""
--- a/quota_gateway/net/client/upload_monitor.py
+++ b/quota_gateway/net/client/upload_monitor.py
@@ -44,6 +44,11 @@
         elif self._unread.is_client_silent(now, SILENCE_TIMEOUT_SECONDS):
             self._intake.time_out_upload(self._request)
 
+    def check_arrival(self, now: float, missing_bytes: int | None) -> None:
+        """Look once whether the last byte has arrived, without waiting for the input to stop."""
+        if not self._request.has_arrived and self._unread.has_end(missing_bytes):
+            self._record_arrival(self._arrival_times.last_arrival(now))
+
     def _record_arrival(self, at: float) -> None:
         """Notify the handler, once, that the last byte of the upload has arrived."""
         if not self._request.has_arrived:
--- a/quota_gateway/net/dispatch/request_table.py
+++ b/quota_gateway/net/dispatch/request_table.py
@@ -97,8 +97,11 @@
         request_class = self._classes.get(event.request_class)
         pending = PendingRequest(request, event, request_class, self.max_attempts)
         self._open[event.id] = pending
-        if event.uploading:  # the timeout of an upload starts with its last byte
-            return event.with_timeout(event.timeout - _response_margin(event.timeout))
+        if event.uploading:
+            # The timeout of an upload starts with its last byte. That may have arrived during a stall of this
+            # process, like the part that was read.
+            remaining = event.timeout - request.seconds_since_arrival()
+            return event.with_timeout(max(MIN_TIMEOUT_SECONDS, remaining - _response_margin(event.timeout)))
         now = self._clock()
         self._start_deadline(pending, now)
         return event.with_timeout(max(MIN_TIMEOUT_SECONDS, pending.deadline - now))
--- a/tests/test_unread_upload.py
+++ b/tests/test_unread_upload.py
@@ -4,19 +4,24 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
 from quota_gateway import model
-from quota_gateway.net.client import upload_monitor
+from quota_gateway.net.client import listener, upload_monitor
 from quota_gateway.net.client.unread_upload import MAX_END_BYTES, UnreadUpload
-from tests.client_helpers import limiter_with_endpoint, take_no_action
-from tests.http_bodies import LONG_BODY, upload, upload_head
+from quota_gateway.net.upstream import idle_connections
+from soak.http_bodies import read_body
+from tests.client_helpers import execute, limiter_with_endpoint, take_no_action
+from tests.http_bodies import LONG_BODY, read_head, upload, upload_head
 from tests.loopback import (
+    OK_RESPONSE,
     LoopbackLimiter,
     ScriptedDecisions,
     async_test,
     forward_to_s1,
+    http_request,
     read_message,
 )
 from tests.paused_endpoint import PausedEndpoint, upload_until_backpressure
@@ -24,6 +29,8 @@
 # Far less than the time after which a stalled upload is aborted, and far more than a busy machine needs.
 ANSWER_SECONDS = 5.0
 LENGTH = 70_000
+WAIT_SECONDS = 0.6  # until an attempt begins
+DEADLINE_SLACK_SECONDS = 0.15
 
 
 class FakeSocket:
@@ -205,3 +212,76 @@
         endpoint.resume.set()
         assert await endpoint.body_size == len(body)
         assert (await read_message(reader))[2] == b"hi"
+
+
+def propagated_timeout(headers: dict[str, str]) -> float:
+    """Return the timeout that an attempt states, in seconds."""
+    return int(headers["x-timeout-ms"]) / 1000
+
+
+class HeadRecorder:
+    """An endpoint that records the headers of requests, and serves them."""
+
+    def __init__(self) -> None:
+        self.headers = asyncio.Queue[dict[str, str]]()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        while True:
+            _, headers = await read_head(reader)
+            self.headers.put_nowait(headers)
+            await read_body(reader, headers)
+            writer.write(OK_RESPONSE)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@async_test
+async def test_attempt_at_an_upload_that_waits_unread_states_the_time_that_is_left(
+    framing: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against attempts that state more time than their client has left."""
+    monkeypatch.setattr(listener, "SCAN_INTERVAL_SECONDS", 1000.0)  # no scan sees that the upload has arrived
+    endpoint = HeadRecorder()
+    script = ScriptedDecisions(take_no_action)
+    async with limiter_with_endpoint(endpoint.serve, script) as limiter:
+        client = socket.create_connection(limiter.address)
+        parts = (b"x" * LENGTH, b"x" * LENGTH)
+        if framing == "chunked":
+            parts = (b"%x\r\n" % LENGTH + parts[0], b"\r\n%x\r\n" % LENGTH + parts[1] + b"\r\n0\r\n\r\n")
+        client.sendall(upload_head(framing, 2 * LENGTH, timeout_ms=5000) + parts[0])
+        while not any(other.pipeline.reader.body.paused for other in limiter.listener.connections):
+            await asyncio.sleep(0.01)
+        reader, writer = await send_all(client, parts[1])
+        await asyncio.sleep(WAIT_SECONDS)
+        (waiting,) = await script.wait_for(model.Request)
+        execute(limiter, forward_to_s1(waiting))
+        timeout = propagated_timeout(await endpoint.headers.get())
+        assert timeout <= 5.0 - WAIT_SECONDS + DEADLINE_SLACK_SECONDS
+        assert (await read_message(reader))[2] == b"hi"
+        writer.close()
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+@async_test
+async def test_attempt_at_an_upload_that_arrived_during_a_stall_states_the_time_that_is_left(
+    framing: str,
+) -> None:
+    """Guards against attempts that state more time than their client has left, behind a stall."""
+    endpoint = HeadRecorder()
+    async with limiter_with_endpoint(endpoint.serve) as limiter:
+        await limiter.fetch(http_request("/post?account=00000000b4d65521", b"xy"))
+        await endpoint.headers.get()
+        await asyncio.sleep(
+            2 * idle_connections.SETTLE_DELAY_SECONDS
+        )  # the attempt begins while the body is read
+        client = socket.create_connection(limiter.address)
+        await asyncio.sleep(0.05)
+        body = b"x" * LENGTH
+        framed = b"%x\r\n" % LENGTH + body + b"\r\n0\r\n\r\n" if framing == "chunked" else body
+        client.sendall(upload_head(framing, LENGTH, timeout_ms=5000) + framed)
+        time.sleep(WAIT_SECONDS)
+        reader, writer = await send_all(client, b"")
+        timeout = propagated_timeout(await endpoint.headers.get())
+        assert timeout <= 5.0 - WAIT_SECONDS + DEADLINE_SLACK_SECONDS
+        assert (await read_message(reader))[2] == b"hi"
+        writer.close()
