Notify the decisions of an upload when it is read, not when it waits unread

Since the decisions were notified that an upload is complete when its end waited unread in the socket.

Change: an unread end starts the client's deadline only, which bounds each attempt; the decisions are notified at the reading, as before. A second expiry of an exchange replaces the first one's timer.

--- a/quota_gateway/net/client/request.py
+++ b/quota_gateway/net/client/request.py
@@ -25,8 +25,11 @@
     def on_request(self, request: ClientRequest) -> None:
         """Handle an accepted request; the body of a streamed upload is still being received."""
 
+    def on_upload_arrived(self, request: ClientRequest) -> None:
+        """Handle that the last byte of a streamed upload has arrived and waits unread."""
+
     def on_upload_completed(self, request: ClientRequest) -> None:
-        """Handle the arrival of the last byte of a streamed upload, which may still be unread."""
+        """Handle the complete receipt of a streamed upload."""
 
     def on_client_disconnected(self, request: ClientRequest) -> None:
         """Handle the disconnect of the client of an unanswered request."""
--- a/quota_gateway/net/client/request_intake.py
+++ b/quota_gateway/net/client/request_intake.py
@@ -48,8 +48,13 @@
         request.accept(event, request_id, head.build_forwarded_head(body, request.upload), body)
         self._handler.on_request(request)
 
+    def record_upload_arrival(self, request: ClientRequest) -> None:
+        """Notify the handler that the last byte of an accepted request's upload waits unread."""
+        if request.response_head is None and request.event is not None:
+            self._handler.on_upload_arrived(request)
+
     def complete_upload(self, request: ClientRequest) -> None:
-        """Notify the handler that the last byte of an accepted request's upload has arrived."""
+        """Notify the handler that the upload of an accepted request has been received completely."""
         if request.response_head is None and request.event is not None:
             self._handler.on_upload_completed(request)
 
--- a/quota_gateway/net/client/upload_monitor.py
+++ b/quota_gateway/net/client/upload_monitor.py
@@ -29,7 +29,10 @@
 
     def on_read_completely(self) -> None:
         """Handle that the last byte has been read."""
-        self._record_arrival(self._arrival_times.record_read())
+        arrived_at = self._arrival_times.record_read()
+        if not self._request.has_arrived:
+            self._request.record_arrival(arrived_at)
+        self._intake.complete_upload(self._request)
 
     def check_unread(self, now: float, missing_bytes: int | None) -> None:
         """Look at the unread part; to be called at intervals while reading is paused.
@@ -50,7 +53,6 @@
             self._record_arrival(self._arrival_times.last_arrival(now))
 
     def _record_arrival(self, at: float) -> None:
-        """Notify the handler, once, that the last byte of the upload has arrived."""
-        if not self._request.has_arrived:
-            self._request.record_arrival(at)
-            self._intake.complete_upload(self._request)
+        """Notify the handler that the last byte of the upload has arrived, before it is read."""
+        self._request.record_arrival(at)
+        self._intake.record_upload_arrival(self._request)
--- a/quota_gateway/net/dispatch/dispatcher.py
+++ b/quota_gateway/net/dispatch/dispatcher.py
@@ -170,8 +170,17 @@
         else:
             self.dispatch(self.requests.add(request, event))
 
+    def on_upload_arrived(self, request: ClientRequest) -> None:
+        """Start the client's timeout of a streamed upload whose last byte waits unread.
+
+        The decisions are notified when it is read: until then, no endpoint can be expected to respond.
+        """
+        event = request.event
+        assert event is not None
+        self.requests.start_upload_deadline(event)
+
     def on_upload_completed(self, request: ClientRequest) -> None:
-        """Start the timeout of a streamed upload whose last byte has arrived."""
+        """Notify the decisions of a streamed upload that was received completely."""
         event = request.event
         assert event is not None
         if self.requests.complete_upload(event):
--- a/quota_gateway/net/dispatch/request_table.py
+++ b/quota_gateway/net/dispatch/request_table.py
@@ -106,13 +106,23 @@
         self._start_deadline(pending, now)
         return event.with_timeout(max(MIN_TIMEOUT_SECONDS, pending.deadline - now))
 
+    def start_upload_deadline(self, event: model.Request) -> None:
+        """Start the timeout of a request, if it is open, whose last byte has arrived and waits unread."""
+        pending = self._open.get(event.id)
+        if pending is None:
+            return
+        self._start_deadline(pending, self._clock())
+        for attempt in pending.attempts:
+            self._exchanges.set_expiry(attempt, pending.deadline)
+
     def complete_upload(self, event: model.Request) -> bool:
-        """Start the timeout of a request whose last byte has arrived; return False if it is not open."""
+        """Start the timeouts of a request that was received completely; return False if it is not open."""
         pending = self._open.get(event.id)
         if pending is None:
             return False
         now = self._clock()
-        self._start_deadline(pending, now)
+        if not pending.has_deadline:
+            self._start_deadline(pending, now)
         for attempt in pending.attempts:
             self._exchanges.set_expiry(attempt, min(pending.deadline, now + attempt.timeout))
         return True
--- a/quota_gateway/net/upstream/exchange.py
+++ b/quota_gateway/net/upstream/exchange.py
@@ -85,11 +85,13 @@
         self.started_at = now
 
     def set_expiry(self, now: float, at: float, on_expired: Callable[[Exchange], None]) -> None:
-        """Have the exchange, whose upload is complete, expire at the time ``at``."""
+        """Have the exchange, whose upload has arrived, expire at ``at``, which replaces an earlier time."""
         self.expires_at = at
         self._start_timer(max(0.0, at - now), on_expired)
 
     def _start_timer(self, delay: float, on_expired: Callable[[Exchange], None]) -> None:
+        if self.expiry_timer is not None:
+            self.expiry_timer.cancel()
         self.expiry_timer = asyncio.get_running_loop().call_later(delay, on_expired, self)
 
     def assign_connection(
