--- a/review/kit_2/lab.py
+++ b/review/kit_2/lab.py
@@ -152,7 +152,10 @@
         if "chunked" in request.headers.get("transfer-encoding", ""):
             while True:
                 await self._until_reading()
-                size = int((await reader.readline()).partition(b";")[0], 16)
+                line = await reader.readline()
+                if not line:
+                    raise ConnectionError
+                size = int(line.partition(b";")[0], 16)
                 request.add(await reader.readexactly(size))
                 await self._pause(request, size)
                 await reader.readexactly(2)
