--- a/review/kit_2/lab.py
+++ b/review/kit_2/lab.py
@@ -113,6 +113,7 @@
         self.reads = True  # False: the server accepts connections and reads nothing more
         self.burst = 0  # bytes of a body behind which the server pauses reading for ``pause_s``; 0: no pauses
         self.pause_s = 0.0
+        self.no_delay = False  # TCP_NODELAY on its connections; a socket begins without it
         self.received: list[Received] = []
         self.port = 0
         self.entry: dict[str, Any] = {}
@@ -132,6 +133,8 @@
         }  # fmt: skip
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, int(self.no_delay))
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 first = await reader.readexactly(1)
