Decide where a request ends by its framing alone, not by the library's upgrade

Cause: httptools tells llhttp to skip the body of a message that may upgrade. The message ended behind its head, and the length that RequestHead had read was compared with nothing: two places decided where a message ends. Evidence: the library reports the message as complete without a part of the body, rest at byte 73 of 78; with Upgrade alone the body is whole. Ruled out: a misread length, a wrong cut.

Change: HeadParser gives the library heads only; the decoder of the body that follows from the head (LengthDecoder, ChunkedDecoder) is the one place that decides where the message ends. The upgrade branch and the way back into the input are gone.

--- a/quota_gateway/net/client/input_backlog.py
+++ b/quota_gateway/net/client/input_backlog.py
@@ -4,7 +4,8 @@
 
 from typing import Protocol
 
-HEAD_END = b"\r\n\r\n"
+from quota_gateway.net.client.head_parser import HEAD_END
+
 # Small enough that a slice of small fields, chunks or requests is parsed in a few milliseconds.
 SLICE_BYTES = 1024
 BODY_SLICE_BYTES = 16 * 1024  # of a body that is not in chunks
@@ -59,11 +60,6 @@
             self._offset = end
         return taken
 
-    def put_back(self, data: bytes) -> None:
-        """Insert bytes, taken before, in front of the others."""
-        self._data = data + self._data[self._offset :]
-        self._offset = 0
-
     def clear(self) -> None:
         """Drop all bytes."""
         self._data = b""
--- a/quota_gateway/net/client/request_head.py
+++ b/quota_gateway/net/client/request_head.py
@@ -5,6 +5,7 @@
 import re
 
 from quota_gateway.net.client.request_parser import DECIMAL_PATTERN, PARSED_HEADERS, TIMEOUT, BadRequestError
+from quota_gateway.net.common.body_framing import BodyDecoder, ChunkedDecoder, LengthDecoder
 from quota_gateway.net.common.body_stream import BodyStream
 from quota_gateway.net.common.http_common import (
     LINE_OVERHEAD_BYTES,
@@ -30,10 +31,8 @@
     __slots__ = (
         "_chunked",
         "_forwarded_headers",
-        "_is_complete",
         "_received_size",
         "_target",
-        "_trailer_size",
         "content_length",
         "expects_continue",
         "headers",
@@ -53,8 +52,6 @@
         self._target = bytearray()
         self._forwarded_headers = bytearray()  # complete header lines
         self._chunked = False
-        self._is_complete = False
-        self._trailer_size = 0  # bytes
         self.headers: dict[bytes, bytes] = {}  # the received headers of PARSED_HEADERS
         self.size = 0  # bytes of the target and the header lines
         self._received_size = 0  # bytes of the input, as long as the head is incomplete
@@ -67,13 +64,10 @@
         self.size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Record a header, or drop a trailer of a chunked body."""
+        """Record a header."""
         key = name.lower()
         value = value.strip(b" \t")
         size = len(name) + len(value) + LINE_OVERHEAD_BYTES
-        if self._is_complete:
-            self._skip_trailer(size)
-            return
         self.size += size
         if key in PARSED_HEADERS:
             if key in self.headers:
@@ -98,12 +92,6 @@
                 raise BadRequestError(400, "invalid transfer-encoding")
             self._chunked = True
 
-    def _skip_trailer(self, size: int) -> None:
-        """Drop a trailer: only the headers of the head are forwarded."""
-        self._trailer_size += size
-        if self._trailer_size > MAX_HEAD_BYTES:
-            raise BadRequestError(400, "trailer too large")
-
     def finish(self, method: bytes, http_version: str) -> None:
         """End the head, and check its size and framing."""
         self.method = method
@@ -113,7 +101,10 @@
         if self._chunked and self.content_length is not None:
             # One of the two framings may hide a second request in the body.
             raise BadRequestError(400, "both Content-Length and Transfer-Encoding")
-        self._is_complete = True
+
+    def new_body_decoder(self) -> BodyDecoder:
+        """Return the decoder of the body that the head announces."""
+        return ChunkedDecoder() if self._chunked else LengthDecoder(self.content_length or 0)
 
     def add_unparsed_input(self, size: int) -> bool:
         """Count input of an incomplete head, part of which the parser may buffer; return whether it fits."""
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -150,10 +150,6 @@
             self._parse(until)
         self.update_reading()
 
-    def unread(self, data: bytes) -> None:
-        """Put input that was not parsed in front of the backlog."""
-        self._backlog.put_back(data)
-
     def _parse(self, until: float) -> None:
         """Parse a slice of the backlog, and further ones until ``time.perf_counter`` returns ``until``."""
         while self._backlog:
--- a/quota_gateway/net/client/request_reader.py
+++ b/quota_gateway/net/client/request_reader.py
@@ -1,4 +1,4 @@
-"""Reads the requests of one connection: the callbacks of the HTTP parser, framing and sizes."""
+"""Reads the requests of one connection: heads, framing and sizes."""
 
 from __future__ import annotations
 
@@ -9,24 +9,25 @@
 
 import httptools
 
+from quota_gateway.net.client.head_parser import HeadParser
 from quota_gateway.net.client.request_body import RequestBody, UploadObserver
 from quota_gateway.net.client.request_head import RequestHead
 from quota_gateway.net.client.request_parser import BadRequestError
+from quota_gateway.net.common.body_framing import BodyDecoder, FramingError, LengthDecoder
 from quota_gateway.net.common.body_stream import BodyStream
 from quota_gateway.net.common.http_common import MAX_BUFFERED_BODY_BYTES
 from quota_gateway.net.common.memory_budget import MemoryBudget
 
 log = logging.getLogger(__name__)
 
+STATUS_BAD_REQUEST = 400
+STATUS_INTERNAL_ERROR = 500
 HEAD_TIMEOUT_SECONDS = 2.5  # a slow client needs 2 s for a head, and a faulty one must be answered within 3 s
 
 
 class RequestReceiver(UploadObserver, Protocol):
     """The connection whose requests are read."""
 
-    def unread(self, data: bytes) -> None:
-        """Take back the input that follows an upgrade offer, which the parser has not parsed."""
-
     def on_request_started(self, *, is_first: bool) -> float:
         """Return the time at which the timeouts of a new request begin.
 
@@ -60,7 +61,7 @@
     STOPPED = enum.auto()  # final: all further input is discarded
 
 
-# The callbacks of the parser compare these often, and a lookup in an enum class is slow.
+# Compared for each part of a request, and a lookup in an enum class is slow.
 _BETWEEN_REQUESTS = ReaderPhase.BETWEEN_REQUESTS
 _HEAD = ReaderPhase.HEAD
 _BODY = ReaderPhase.BODY
@@ -68,37 +69,35 @@
 
 
 class RequestReader:
-    """Turns received bytes into requests. The callbacks of the HTTP parser change its phase.
+    """Turns received bytes into requests.
 
-    BETWEEN_REQUESTS -> HEAD -> BODY -> BETWEEN_REQUESTS, and any of them -> STOPPED.
+    BETWEEN_REQUESTS -> HEAD -> BODY -> BETWEEN_REQUESTS, and any of them -> STOPPED. ``HeadParser`` decides
+    where a head ends, and the decoder of the body where the message ends.
     """
 
     __slots__ = (
-        "_clock",
+        "_accepts_further_requests",
         "_has_read_request",
-        "_parser",
+        "_head_parser",
         "_receiver",
         "_started_at",
         "body",
+        "body_decoder",
         "head",
-        "on_header",
-        "on_url",
         "phase",
     )
 
     def __init__(self, receiver: RequestReceiver, clock: Callable[[], float], budget: MemoryBudget) -> None:
         """Create the reader of a new connection."""
         self._receiver = receiver
-        self._clock = clock
         self._started_at = 0.0  # when the timeouts of the current request began
         self._has_read_request = False  # whether any request has been received completely
+        self._accepts_further_requests = True  # whether no request has announced the end of the connection
         self.phase = _BETWEEN_REQUESTS
         self.body = RequestBody(receiver, clock, budget)
+        self.body_decoder: BodyDecoder = LengthDecoder(0)  # of the last request
         self.head = RequestHead()
-        # The parser calls the head's methods directly, which saves a call for each header.
-        self.on_url = self.head.on_url
-        self.on_header = self.head.on_header
-        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+        self._head_parser: HeadParser | None = HeadParser(self.head, self._begin_request)
 
     @property
     def in_request(self) -> bool:
@@ -118,7 +117,7 @@
     def stop(self) -> None:
         """Parse no more input, and drop the request that is incomplete."""
         self.phase = _STOPPED
-        self._parser = None
+        self._head_parser = None
         self.head.release()
         self.body.release()
 
@@ -132,7 +131,7 @@
     def stop_upload(self) -> None:
         """Parse no more input, and release the upload, whose request has already been answered."""
         self.phase = _STOPPED
-        self._parser = None
+        self._head_parser = None
         self.body.discard_upload()
 
     def is_overdue(self, now: float) -> bool:
@@ -144,91 +143,100 @@
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes; malformed input is answered and ends the connection."""
-        parser = self._parser
-        if parser is None:
-            return
         try:
-            parser.feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            # The offered upgrade is ignored (RFC 9110, 7.8): the rest of the input is HTTP/1.1.
-            self._parser = httptools.HttpRequestParser(self)
-            self._receiver.unread(data[upgrade.args[0] :])
-        except httptools.HttpParserError as error:
-            self._reject(error)
+            self._parse(data)
+        except (BadRequestError, FramingError, httptools.HttpParserError) as error:
+            self._reject(_status_for(error))
+        except Exception:
+            log.exception("a request could not be handled")
+            self._reject(STATUS_INTERNAL_ERROR)
         else:
             self.body.flush()
-            self._check_head_size(len(data))
-
-    def _check_head_size(self, received_size: int) -> None:
-        # The parser buffers a header line until its end, so no callback would notice an endless one.
-        if self.phase is _HEAD and not self.head.add_unparsed_input(received_size):
-            self._receiver.reject(400)
-
-    def _reject(self, error: httptools.HttpParserError) -> None:
-        if self.phase is _STOPPED:
-            return  # the response has been sent
-        cause = error.__context__
-        if isinstance(cause, BadRequestError):
-            self._receiver.reject(cause.status)
-        elif isinstance(error, httptools.HttpParserCallbackError):
-            log.error("a request could not be handled", exc_info=cause)
-            self._receiver.reject(500)
-        else:
-            self._receiver.reject(400)
 
-    # Callbacks of the HTTP parser.
-
-    def on_message_begin(self) -> None:
-        """Start a request."""
-        if self.phase is _STOPPED:
-            return
+    def _reject(self, status: int) -> None:
+        if self.phase is not _STOPPED:  # otherwise the response has been sent
+            self._receiver.reject(status)
+
+    def _parse(self, data: bytes) -> None:
+        offset = 0
+        while offset < len(data):
+            if self.phase is _BODY:
+                offset = self._parse_body(data, offset)
+            elif self._head_parser is not None:
+                offset = self._parse_head(self._head_parser, data, offset)
+            else:
+                return  # stopped
+
+    def _parse_head(self, parser: HeadParser, data: bytes, start: int) -> int:
+        if not self._accepts_further_requests:
+            if data[start:].strip(b"\r\n"):
+                raise BadRequestError(400, "a request behind the last one of the connection")
+            return len(data)
+        end = parser.feed(data, start)
+        if parser.is_complete:
+            self.head.finish(parser.method, parser.http_version)
+            self._accepts_further_requests = parser.keeps_alive
+            parser.begin()
+            self._begin_body()
+        elif self.phase is _HEAD and not self.head.add_unparsed_input(end - start):
+            # The parser buffers a header line until its end, so no callback would notice an endless one.
+            raise BadRequestError(400, "head too large")
+        return end
+
+    def _begin_request(self) -> None:
+        """Start a request, whose first byte was received."""
         self.phase = _HEAD
         self.head.begin()
         self._started_at = self._receiver.on_request_started(is_first=not self._has_read_request)
 
-    def on_headers_complete(self) -> None:
-        """Check the framing, and begin the body."""
-        parser = self._parser
-        if parser is None:
-            return
+    def _begin_body(self) -> None:
         head = self.head
-        head.finish(parser.get_method(), parser.get_http_version())
         self.phase = _BODY
         self.body.begin()
+        self.body_decoder = head.new_body_decoder()
         if head.expects_continue:
             self._receiver.on_continue_expected()
         if head.content_length is not None and head.content_length > MAX_BUFFERED_BODY_BYTES:
             self._start_upload()
-
-    def on_body(self, data: bytes) -> None:
-        """Append a part of the body."""
-        if self.phase is _STOPPED:
-            return
-        self.body.append(data)
-        if self.body.is_too_long_to_buffer:
-            self._start_upload()
+        elif self.body_decoder.is_complete:
+            self._complete_request()
+
+    def _parse_body(self, data: bytes, start: int) -> int:
+        part = self.body_decoder.decode(data, start)
+        if part.payload:
+            self.body.append(part.payload)
+            if self.body.is_too_long_to_buffer:
+                self._start_upload()
+        if self.body_decoder.is_complete and self.phase is not _STOPPED:
+            self._complete_request()
+        return part.end
 
     def _start_upload(self) -> None:
         """Pass on a request before its body has been received completely."""
-        assert self._parser is not None
         if self.head.method != b"POST":
             raise BadRequestError(413, "body too large")
         upload = self.body.start_upload(self.head.content_length)
-        keep_alive = self._parser.should_keep_alive()
-        self._receiver.on_request_read(self.head, b"", upload, keep_alive=keep_alive)
+        self._receiver.on_request_read(self.head, b"", upload, keep_alive=self._accepts_further_requests)
 
-    def on_message_complete(self) -> None:
+    def _complete_request(self) -> None:
         """Pass on the request, or end its upload if it is streamed."""
-        parser = self._parser
-        if parser is None:
-            return
         self.phase = _BETWEEN_REQUESTS
         self._has_read_request = True
         if self.body.upload is None:
             body = self.body.buffered()
-            keep_alive = parser.should_keep_alive()
-            self._receiver.on_request_read(self.head, body, None, keep_alive=keep_alive)
+            self._receiver.on_request_read(self.head, body, None, keep_alive=self._accepts_further_requests)
             return
         upload = self.body.end_upload()
         self._receiver.on_upload_completed()
         upload.finish()
+
+
+def _status_for(error: BadRequestError | FramingError | httptools.HttpParserError) -> int:
+    """Return the status of the response to malformed input."""
+    cause = error.__context__ if isinstance(error, httptools.HttpParserCallbackError) else error
+    if isinstance(cause, BadRequestError):
+        return cause.status
+    if cause is not error:
+        log.error("a request could not be handled", exc_info=cause)
+        return STATUS_INTERNAL_ERROR
+    return STATUS_BAD_REQUEST
