Release what the HTTP library has buffered of a head when its request is rejected

Cause: HeadParser and the library's parser refer to each other, so the buffered header of a rejected request waited for the collector. Change: the reader releases the parser when it stops.

--- a/quota_gateway/net/client/head_parser.py
+++ b/quota_gateway/net/client/head_parser.py
@@ -23,8 +23,10 @@
     __slots__ = (
         "_last_bytes",
         "_parser",
+        "http_version",
         "is_complete",
         "keeps_alive",
+        "method",
         "on_header",
         "on_message_begin",
         "on_url",
@@ -44,15 +46,26 @@
     def begin(self) -> None:
         """Expect the next head."""
         self.is_complete = False
-        self.keeps_alive = True  # whether the client expects to send a further request, by the complete head
+        # By the complete head:
+        self.method = b""
+        self.http_version = ""
+        self.keeps_alive = True  # whether the client expects to send a further request
         self._last_bytes = b""  # the last ones that were fed, as a head may end in parts
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
+
+    def release(self) -> None:
+        """Drop what the library has buffered of a head: no request follows from it.
+
+        The library's parser and this object refer to each other.
+        """
+        self._parser = None
 
     def feed(self, data: bytes, start: int) -> int:
         """Parse input from offset ``start`` on, at most up to the end of the head; return the end offset.
 
         Raises ``httptools.HttpParserError`` and BadRequestError.
         """
+        assert self._parser is not None
         end = self._possible_end(data, start)
         part = data[start:end]
         # An offer to upgrade is ignored (RFC 9110, 7.8), and CONNECT is rejected like other methods.
@@ -73,23 +86,13 @@
         end = data.find(HEAD_END, start)
         return len(data) if end < 0 else end + len(HEAD_END)
 
-    # The head that is complete.
-
-    @property
-    def method(self) -> bytes:
-        """The method."""
-        method: bytes = self._parser.get_method()
-        return method
-
-    @property
-    def http_version(self) -> str:
-        """The version, such as ``1.1``."""
-        version: str = self._parser.get_http_version()
-        return version
-
     # Callback of the library.
 
     def on_headers_complete(self) -> None:
-        """Record the end of the head."""
+        """Record the end of the head, and what the library forgets behind it."""
+        parser = self._parser
+        assert parser is not None
         self.is_complete = True
-        self.keeps_alive = self._parser.should_keep_alive()  # the library forgets this behind the message
+        self.keeps_alive = parser.should_keep_alive()
+        self.method = parser.get_method()
+        self.http_version = parser.get_http_version()
--- a/quota_gateway/net/client/request_reader.py
+++ b/quota_gateway/net/client/request_reader.py
@@ -97,7 +97,7 @@
         self.body = RequestBody(receiver, clock, budget)
         self.body_decoder: BodyDecoder = LengthDecoder(0)  # of the last request
         self.head = RequestHead()
-        self._head_parser: HeadParser | None = HeadParser(self.head, self._begin_request)
+        self._head_parser = HeadParser(self.head, self._begin_request)
 
     @property
     def in_request(self) -> bool:
@@ -117,7 +117,7 @@
     def stop(self) -> None:
         """Parse no more input, and drop the request that is incomplete."""
         self.phase = _STOPPED
-        self._head_parser = None
+        self._head_parser.release()
         self.head.release()
         self.body.release()
 
@@ -131,7 +131,7 @@
     def stop_upload(self) -> None:
         """Parse no more input, and release the upload, whose request has already been answered."""
         self.phase = _STOPPED
-        self._head_parser = None
+        self._head_parser.release()
         self.body.discard_upload()
 
     def is_overdue(self, now: float) -> bool:
@@ -162,16 +162,17 @@
         while offset < len(data):
             if self.phase is _BODY:
                 offset = self._parse_body(data, offset)
-            elif self._head_parser is not None:
-                offset = self._parse_head(self._head_parser, data, offset)
+            elif self.phase is _STOPPED:
+                return
             else:
-                return  # stopped
+                offset = self._parse_head(data, offset)
 
-    def _parse_head(self, parser: HeadParser, data: bytes, start: int) -> int:
+    def _parse_head(self, data: bytes, start: int) -> int:
         if not self._accepts_further_requests:
             if data[start:].strip(b"\r\n"):
                 raise BadRequestError(400, "a request behind the last one of the connection")
             return len(data)
+        parser = self._head_parser
         end = parser.feed(data, start)
         if parser.is_complete:
             self.head.finish(parser.method, parser.http_version)
