Close a client connection only when nothing is owed on it

Cause: each close judged by itself whether anything was owed. The eviction took a half-closed connection for one that is done. Ruled out for this case: the linger's end, unread input; both lose responses in tests of their own, as do idle closes, the limit of discarded input and the eviction of requests with an unread rest.

Change: has_undelivered_output (in the process, or not acknowledged by the client's system) is the one answer that closes ask; is_evictable adds that no input waits, so evict_slow_request went. Clients are timed by a clock without stalls and pauses; none is too slow while its input is unread.

--- a/quota_gateway/net/client/connection.py
+++ b/quota_gateway/net/client/connection.py
@@ -101,8 +101,8 @@
 
     @property
     def is_responding(self) -> bool:
-        """Whether a response has begun or is due, and has not been written completely."""
-        return bool(self.pipeline.queue) or self.transport.has_unwritten_output
+        """Whether a response has begun or is due, and has not been delivered completely."""
+        return bool(self.pipeline.queue) or self.transport.has_undelivered_output
 
     # Timeouts and eviction.
 
@@ -118,14 +118,18 @@
             return
         if not self.pipeline.is_idle:
             self.pipeline.check_timeouts(now)
-        elif (
-            now - self.pipeline.queue.active_at > IDLE_TIMEOUT_SECONDS or self._shared.closes_idle_connections
-        ):
+        elif self._shared.closes_idle_connections or self._idle_seconds(now) > IDLE_TIMEOUT_SECONDS:
             self._close_idle(CloseReason.IDLE)
 
+    def _idle_seconds(self, now: float) -> float:
+        return self._shared.stalls.without_stalls(now) - self.pipeline.queue.active_at
+
     def eviction_rank(self) -> EvictionRank | None:
-        """Return the rank of the connection in the eviction order; None if it must not be evicted."""
-        is_new = self._shared.clock() - self.pipeline.queue.active_at < NEW_SECONDS
+        """Return the rank of the connection in the eviction order; None if it has an open request.
+
+        Whether it ``is_evictable`` takes system calls, and is not checked here.
+        """
+        is_new = self._shared.client_clock() - self.pipeline.queue.active_at < NEW_SECONDS
         if self.transport.is_lingering:
             priority = EvictionPriority.LINGERING
         elif not self.transport.is_open or self.pipeline.queue:
@@ -138,23 +142,23 @@
             priority = EvictionPriority.IDLE
         return EvictionRank(priority, self.pipeline.queue.active_at)
 
-    def evict_slow_request(self) -> bool:
-        """Reset the connection if its request is incomplete and not new; return whether that was done."""
-        rank = self.eviction_rank()
-        if rank is None or rank.priority is not EvictionPriority.PARTIAL_REQUEST:
+    @property
+    def is_evictable(self) -> bool:
+        """Whether nothing is owed on a connection that has a rank: no output and no input waits.
+
+        Input may complete a request. Once a connection is half-closed, its input is discarded.
+        """
+        transport = self.transport
+        if transport.has_undelivered_output:
             return False
-        self.abort(CloseReason.EVICTED)
-        return True
+        return not transport.is_open or not (self.pipeline.has_backlog or transport.has_unread_input)
 
     def evict(self) -> bool:
-        """Close or reset the connection; return whether that was done.
-
-        An open connection that has unread input stays open.
-        """
+        """Close or reset the connection if nothing is owed on it; return whether that was done."""
+        if not self.is_evictable:
+            return False
         if self.transport.is_open and not self.pipeline.reader.in_request:
             return self._close_idle(CloseReason.EVICTED)
-        if self.transport.is_open and (self.pipeline.has_backlog or self.transport.has_unread_input):
-            return False
         self.abort(CloseReason.EVICTED)
         return True
 
@@ -170,8 +174,8 @@
         self.pipeline.disconnect()
 
     def _close_idle(self, reason: CloseReason) -> bool:
-        """Close an idle connection, unless it has unread input; return whether it was closed."""
-        if not self.transport.close_without_input():
+        """Close an idle connection, unless something is owed on it; return whether it was closed."""
+        if not self.transport.close_idle():
             return False
         self._record_close(reason)
         self.pipeline.reader.stop()
--- a/quota_gateway/net/client/listener.py
+++ b/quota_gateway/net/client/listener.py
@@ -9,7 +9,7 @@
 
 from quota_gateway import model
 from quota_gateway.net.client.connection import ClientConnection
-from quota_gateway.net.client.eviction import EVICTED_FIRST, NEW_PRIORITIES, EvictionRank
+from quota_gateway.net.client.eviction import EVICTED_FIRST, WAITED_FOR, EvictionRank
 from quota_gateway.net.client.request import RequestHandler
 from quota_gateway.net.client.request_intake import RequestIntake
 from quota_gateway.net.client.shared_state import SharedState
@@ -110,29 +110,24 @@
             self._all_closed.set()
 
     def _may_accept(self) -> bool:
-        """Whether there is room for a connection, without evicting one that is new.
+        """Whether there is room for a connection, without evicting one that is new or has unread input.
 
         If none can be evicted at all, the connection is accepted and aborted.
         """
         if len(self.connections) < self._max_connections:
             return True
-        has_new = False
+        may_wait = False  # for a connection that can probably be evicted soon
         for connection in self.connections:  # oldest first, so that the first ones are mostly not new
             rank = connection.eviction_rank()
-            if rank is not None and rank.priority in EVICTED_FIRST:
+            if rank is None:
+                continue
+            if rank.priority in EVICTED_FIRST and connection.is_evictable:
                 return True
-            has_new = has_new or (rank is not None and rank.priority in NEW_PRIORITIES)
-        return not has_new
+            may_wait = may_wait or rank.priority in WAITED_FOR
+        return not may_wait
 
     def _evict_one(self) -> bool:
-        """Evict a connection; one with a slow request goes before new ones, even if it has unread input."""
-        candidates = self._eviction_candidates()
-        first = [connection for rank, connection in candidates if rank.priority in EVICTED_FIRST]
-        if any(connection.evict() for connection in first):
-            return True
-        if any(connection.evict_slow_request() for connection in first):
-            return True
-        return any(connection.evict() for _, connection in candidates)
+        return any(connection.evict() for _, connection in self._eviction_candidates())
 
     def _eviction_candidates(self) -> list[tuple[EvictionRank, ClientConnection]]:
         """Return the connections that may be evicted with their ranks, in the eviction order."""
@@ -150,6 +145,7 @@
             self._scan_timer.cancel()
         self._scan_timer = asyncio.get_running_loop().call_later(SCAN_INTERVAL_SECONDS, self._scan)
         now = self.shared.clock()
+        self.shared.stalls.record_iteration(now)
         for connection in list(self.connections):
             try:
                 connection.check_timeouts(now)
--- a/quota_gateway/net/client/request_body.py
+++ b/quota_gateway/net/client/request_body.py
@@ -152,6 +152,12 @@
             return False
         return age > MAX_BUFFERING_SECONDS or self.size < MIN_BODY_BYTES_PER_SECOND * age
 
+    def exclude_pause(self, now: float, seconds: float) -> None:
+        """Do not count the last ``seconds``, in which no input was read; uploads measure their pauses."""
+        if self.upload is None:
+            self._started_at = min(now, self._started_at + seconds)
+            self._last_byte_at = min(now, self._last_byte_at + seconds)
+
     def is_upload_stalled(self, now: float) -> bool:
         """Whether the client has stopped sending an upload or sends it too slowly."""
         if self.paused:
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -51,6 +51,7 @@
         "_intake",
         "_is_scheduled",
         "_memory",
+        "_paused_at",
         "_transport",
         "_upload_monitor",
         "liveness",
@@ -68,10 +69,11 @@
         self._intake = intake
         self._upload_monitor: UploadMonitor | None = None  # of the upload that is being received, if any
         self._backlog = InputBacklog()
+        self._paused_at = 0.0  # when reading was last paused, by the clock of the clients
         self._is_scheduled = False  # whether the connection waits for its turn to parse the backlog
         self._memory = MemoryUsage(shared.budget)
         self.shared = shared
-        self.reader = RequestReader(self, shared.clock, shared.budget)
+        self.reader = RequestReader(self, shared.client_clock, shared.budget)
         self.liveness = ClientLiveness(transport, self, shared.clock)
         self.queue = ResponseQueue(transport, shared)
         self._arrival_times = ArrivalTimes(transport, self.liveness, shared)
@@ -102,6 +104,15 @@
         paused = paused or (bool(self.queue) and self.reader.is_stopped)
         if paused is not self._transport.reading_paused:
             self._transport.set_reading_paused(paused=paused)
+            self._record_pause(paused=paused)
+
+    def _record_pause(self, *, paused: bool) -> None:
+        """Exclude the time in which no input is read from the timeouts of the client."""
+        now = self.shared.client_clock()
+        if paused:
+            self._paused_at = now
+        else:
+            self.reader.exclude_pause(now, now - self._paused_at)
 
     def _is_blocked(self) -> bool:
         """Whether no input is parsed for now.
@@ -179,7 +190,9 @@
         return self.shared.budget.is_exhausted
 
     def _discard(self, size: int) -> None:
-        if not self._transport.count_discarded(size):
+        is_within_limit = self._transport.count_discarded(size)
+        is_anything_owed = bool(self.queue) or self._transport.has_undelivered_output
+        if not is_within_limit and not is_anything_owed:
             self._closer.abort(CloseReason.TOO_MUCH_INPUT)
 
     def on_request_started(self, *, is_first: bool) -> float:
@@ -313,18 +326,24 @@
     # Timeouts.
 
     def check_timeouts(self, now: float) -> None:
-        """Respond to a client that sends too slowly; notice the disconnect of one whose input is not read."""
+        """Respond to a client that sends too slowly; notice the disconnect of one whose input is not read.
+
+        Only a client whose input has been read can be too slow.
+        """
+        client_now = self.shared.stalls.without_stalls(now)
         if self.reader.body.upload is not None:
-            self._check_upload(now)
-        elif self.reader.in_request and not self._transport.reading_paused and self.reader.is_overdue(now):
-            self.reject(408)  # also while earlier requests wait for their responses
+            self._check_upload(now, client_now)
+        elif self.reader.in_request and not self._transport.reading_paused:
+            if self.reader.is_overdue(client_now) and not self._transport.has_unread_input:
+                self.reject(408)  # also while earlier requests wait for their responses
         elif self.queue and self._transport.reading_paused and not self.liveness.input_ended:
             self.liveness.poll()
 
-    def _check_upload(self, now: float) -> None:
+    def _check_upload(self, now: float, client_now: float) -> None:
         if self._transport.reading_paused:
             self.liveness.poll()
             if self._upload_monitor is not None and self._transport.is_open:
                 self._upload_monitor.check_unread(now)
-        elif self._transport.is_open and self.reader.body.is_upload_stalled(now):
-            self._intake.time_out_upload(self.queue[-1])
+        elif self._transport.is_open and self.reader.body.is_upload_stalled(client_now):
+            if not self._transport.has_unread_input:
+                self._intake.time_out_upload(self.queue[-1])
--- a/quota_gateway/net/client/request_reader.py
+++ b/quota_gateway/net/client/request_reader.py
@@ -141,6 +141,11 @@
             return head_timeout_passed
         return self.body.is_overdue(now, head_timeout_passed=head_timeout_passed)
 
+    def exclude_pause(self, now: float, seconds: float) -> None:
+        """Do not count the last ``seconds``, in which no input was read, for the timeouts."""
+        self._started_at = min(now, self._started_at + seconds)
+        self.body.exclude_pause(now, seconds)
+
     def feed(self, data: bytes) -> None:
         """Parse received bytes; malformed input is answered and ends the connection."""
         try:
--- a/quota_gateway/net/client/response_queue.py
+++ b/quota_gateway/net/client/response_queue.py
@@ -37,7 +37,7 @@
         super().__init__()
         self._output = output
         self._shared = shared
-        self.active_at = shared.clock()  # last connect, start of a request or end of a response
+        self.active_at = shared.client_clock()  # last connect, start of a request or end of a response
         self.write_blocked = False  # whether the client accepts no more data for now
 
     def start_request(self) -> float:
@@ -45,7 +45,7 @@
 
         Raises BadRequestError if too many requests are unanswered.
         """
-        now = self._shared.clock()
+        now = self._shared.client_clock()
         if not self:
             self.active_at = now
         elif len(self) > MAX_PIPELINED_REQUESTS:
@@ -63,7 +63,7 @@
                 )
                 break  # later responses wait until the streamed one is finished
             self.popleft()
-            self.active_at = self._shared.clock()
+            self.active_at = self._shared.client_clock()
             # A drain or an end of input closes the connection only after the last queued response, because
             # all queued requests have been accepted.
             closes = not self and (self._shared.closes_after_response or input_ended)
@@ -78,7 +78,7 @@
         if not self or self[0] is not request:
             return False
         self.popleft()
-        self.active_at = self._shared.clock()
+        self.active_at = self._shared.client_clock()
         return not self and (not request.keep_alive or input_ended)
 
     def set_write_blocked(self, *, blocked: bool) -> None:
--- a/quota_gateway/net/client/shared_state.py
+++ b/quota_gateway/net/client/shared_state.py
@@ -67,6 +67,12 @@
         self.active_connections = 0  # open connections that have received data
         self._max_keep_alive_connections = MAX_KEEP_ALIVE_FRACTION * max_connections
 
+    def client_clock(self) -> float:
+        """Return the seconds in which input could be read, by which clients are timed."""
+        now = self.clock()
+        self.stalls.record_iteration(now)
+        return self.stalls.without_stalls(now)
+
     @property
     def closes_after_response(self) -> bool:
         """Whether each response announces the close of its connection, which then closes."""
--- a/quota_gateway/net/client/stall_detector.py
+++ b/quota_gateway/net/client/stall_detector.py
@@ -27,6 +27,7 @@
         "_previous_iteration_at",
         "_stall_began_at",
         "_stall_ended_at",
+        "_stalled_seconds",
     )
 
     def __init__(self, now: float) -> None:
@@ -37,6 +38,7 @@
         self._previous_iteration_at = now
         self._stall_began_at = now - MAX_ACCEPT_QUEUE_SECONDS
         self._stall_ended_at = now
+        self._stalled_seconds = 0.0  # of all stalls, beyond the threshold
 
     def record_iteration(self, now: float) -> None:
         """Record that the event loop runs at ``now``; all calls in one iteration pass the same time."""
@@ -47,10 +49,18 @@
             if not self.is_after_stall(self._last_iteration_at):
                 self._stall_began_at = self._last_iteration_at
             self._stall_ended_at = now
+            self._stalled_seconds += now - self._last_iteration_at - STALL_THRESHOLD_SECONDS
             self._has_stalled = True
         self._previous_iteration_at = self._last_iteration_at
         self._last_iteration_at = now
 
+    def without_stalls(self, now: float) -> float:
+        """Return ``now`` less the time in which the process stood still.
+
+        Clients are timed by this clock: what they sent during a stall has not been read.
+        """
+        return now - self._stalled_seconds
+
     def input_arrived_after(self, now: float) -> float:
         """Return the earliest time at which input that is read at ``now`` may have arrived."""
         return self._stall_began_at if self.is_after_stall(now) else self._previous_iteration_at
--- a/quota_gateway/net/client/transport.py
+++ b/quota_gateway/net/client/transport.py
@@ -10,8 +10,9 @@
 from quota_gateway.net.common.output_progress import OutputProgress
 from quota_gateway.net.common.socket_calls import PeerState
 
-# How long a half-closed connection discards input before it is closed. Closing at once could cause a reset,
-# and a client that receives a reset before it has read its response loses the response.
+# How long a half-closed connection discards input before it is closed, and again if its output has not been
+# delivered by then. Closing at once could cause a reset, and a client that receives a reset before it has
+# read its response loses the response.
 LINGER_SECONDS = 0.5
 MAX_DISCARDED_BYTES = 128 * 1024  # a limit, because the client must not determine how much input is discarded
 # Output beyond this that the system does not accept stops the production of more.
@@ -98,16 +99,22 @@
         return self._transport is not None and socket_calls.has_unread_input(self._transport)
 
     @property
-    def has_unwritten_output(self) -> bool:
-        """Whether a part of the output has not been passed to the operating system."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+    def has_undelivered_output(self) -> bool:
+        """Whether the client's system has not acknowledged all of the output, or its end.
+
+        Closing the connection could lose that output: if any input is unread then, the close resets it.
+        """
+        transport = self._transport
+        if transport is None:
+            return False
+        return transport.get_write_buffer_size() > 0 or socket_calls.unacknowledged_size(transport) > 0
 
     def unwritten_size(self) -> int:
         """Return the number of output bytes that have not been passed to the operating system."""
         return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
     def seconds_without_progress(self, now: float) -> float:
-        """Return for how long the client has accepted none of the output that waits in this process.
+        """Return for how long the client's system has acknowledged none of the output that waits for it.
 
         To be called in each scan.
         """
@@ -168,9 +175,16 @@
         self._max_discarded_bytes = MAX_STREAMED_BODY_BYTES
 
     def count_discarded(self, size: int) -> bool:
-        """Count ``size`` discarded bytes of input; return whether the total is within the limit."""
+        """Count ``size`` discarded bytes of input; return whether the total is within the limit.
+
+        Beyond the limit, no more input is read.
+        """
         self._discarded_bytes += size
-        return self._discarded_bytes <= self._max_discarded_bytes
+        if self._discarded_bytes <= self._max_discarded_bytes:
+            return True
+        if self._transport is not None:
+            self._transport.pause_reading()
+        return False
 
     # The state of the client.
 
@@ -195,7 +209,10 @@
     # Closing.
 
     def half_close(self) -> None:
-        """Close the sending side after the written data; close the connection after the linger time."""
+        """Close the sending side after the written data; close the connection once these are delivered.
+
+        That is checked at intervals of the linger time.
+        """
         transport = self._writable_transport()
         self.phase = TransportPhase.HALF_CLOSED
         if transport is None:
@@ -203,19 +220,27 @@
         if self.reading_paused:
             transport.resume_reading()
         transport.write_eof()
-        asyncio.get_running_loop().call_later(self._linger_seconds, transport.close)
+        self._start_linger()
+
+    def _start_linger(self) -> None:
+        asyncio.get_running_loop().call_later(self._linger_seconds, self._end_linger)
+
+    def _end_linger(self) -> None:
+        if self.has_undelivered_output:
+            self._start_linger()
+        elif self._transport is not None:
+            self._transport.close()
 
-    def close_without_input(self) -> bool:
-        """Close the transport unless it has unread input; return whether it was closed.
+    def close_idle(self) -> bool:
+        """Close the transport unless it has unread input or undelivered output; return whether it was closed.
 
         The end of the output is sent in the same step as the check for unread input. A client whose request
         arrives later sees that its request and the close crossed on the network, and sends the request again.
         """
         transport = self._writable_transport()
-        if transport is None or self.has_unread_input:
+        if transport is None or self.has_undelivered_output or self.has_unread_input:
             return False
-        if transport.get_write_buffer_size() == 0:
-            socket_calls.shut_down_sending(transport)
+        socket_calls.shut_down_sending(transport)
         self.phase = TransportPhase.CLOSED
         transport.close()
         return True
--- a/quota_gateway/net/common/body_framing.py
+++ b/quota_gateway/net/common/body_framing.py
@@ -21,6 +21,7 @@
 # What mostly stands between the data of two chunks.
 NEXT_CHUNK = re.compile(rb"\r\n([0-9A-Fa-f]{1,16})\r\n")
 TRAILER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*")
+TRAILER_LINES = re.compile(rb"(?:%b\r\n)*" % TRAILER_LINE.pattern)
 
 
 class FramingError(ValueError):
@@ -158,6 +159,8 @@
         while offset < len(data) and self._expected is not _NOTHING:
             if self._expected is _DATA:
                 offset = self._take_data(data, offset, parts)
+            elif self._expected is _TRAILER and not self._line:
+                offset = self._take_line(data, self._take_trailers(data, offset))
             else:
                 offset = self._take_line(data, offset)
         self.consumed += offset - start
@@ -181,6 +184,13 @@
             if self._expected is not _DATA:
                 return offset
 
+    def _take_trailers(self, data: bytes, offset: int) -> int:
+        """Take the trailers that are complete and valid."""
+        match = TRAILER_LINES.match(data, offset)
+        assert match is not None  # perhaps empty
+        self._count_trailers(match.end() - offset)
+        return match.end()
+
     def _take_line(self, data: bytes, offset: int) -> int:
         line_feed = data.find(b"\n", offset)
         end = line_feed + 1 if line_feed >= 0 else len(data)
@@ -227,8 +237,11 @@
         if not line:
             self._expected = _NOTHING
             return
-        self._trailer_size += len(line) + len(LINE_END)
-        if self._trailer_size > MAX_HEAD_BYTES:
-            raise FramingError("trailers too large")
         if not TRAILER_LINE.fullmatch(line):
             raise FramingError(f"invalid trailer: {line!r:.40}")
+        self._count_trailers(len(line) + len(LINE_END))
+
+    def _count_trailers(self, size: int) -> None:
+        self._trailer_size += size
+        if self._trailer_size > MAX_HEAD_BYTES:
+            raise FramingError("trailers too large")
--- a/quota_gateway/net/common/output_progress.py
+++ b/quota_gateway/net/common/output_progress.py
@@ -30,15 +30,12 @@
         self._last_progress = None
 
     def seconds_without_progress(self, transport: asyncio.Transport, now: float) -> float:
-        """Return the time since progress was last seen; 0 if no output waits in this process.
+        """Return the time since progress was last seen; 0 if the peer's system has acknowledged all output.
 
         To be called at intervals: progress between two calls is seen by the second one.
         """
-        waiting_bytes = transport.get_write_buffer_size()
-        accepted_bytes = 0
-        if waiting_bytes:
-            unacknowledged_bytes = socket_calls.unacknowledged_size(transport)
-            accepted_bytes = self._written_bytes - waiting_bytes - unacknowledged_bytes
+        waiting_bytes = transport.get_write_buffer_size() + socket_calls.unacknowledged_size(transport)
+        accepted_bytes = self._written_bytes - waiting_bytes
         if self._last_progress is None or not waiting_bytes or accepted_bytes > self._accepted_bytes:
             self._last_progress = now
         self._accepted_bytes = accepted_bytes
--- a/tests/test_request_framing.py
+++ b/tests/test_request_framing.py
@@ -12,7 +12,6 @@
 from quota_gateway import model
 from quota_gateway.net.common.body_framing import ChunkedDecoder, FramingError
 from quota_gateway.net.common.http_common import MAX_HEAD_BYTES
-from soak.http_bodies import read_body
 from tests.client_helpers import limiter_with_endpoint, reject
 from tests.http_bodies import chunked, read_head, upload
 from tests.loopback import (
@@ -23,6 +22,7 @@
     http_request,
     read_message,
 )
+from tests.recording_endpoint import RecordingEndpoint
 
 ANSWER_SECONDS = 5.0
 OFFERS = {
@@ -37,21 +37,6 @@
 }
 
 
-class RecordingEndpoint:
-    """Serves each request and records its first line and its body."""
-
-    def __init__(self) -> None:
-        self.requests = list[tuple[str, bytes]]()
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one connection."""
-        while True:
-            first_line, headers = await read_head(reader)
-            body = await read_body(reader, headers) if first_line.startswith("POST") else b""
-            self.requests.append((first_line, body))
-            writer.write(OK_RESPONSE)
-
-
 def with_offer(request: bytes, offer: str) -> bytes:
     """Add the headers of an offer to a request."""
     return request.replace(b"\r\n", b"\r\n" + OFFERS[offer], 1)
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -114,7 +114,7 @@
             client.setblocking(False)  # noqa: FBT003 - positional only
             client.send(b"".join(http_request() for _ in range(request_count)))
             (connection,) = await wait_for_connections(limiter)
-            while not connection.transport.has_unwritten_output:
+            while not connection.transport.unwritten_size():
                 await asyncio.sleep(SCAN_SECONDS)
             yield SlowClient(limiter, client, connection)
 
@@ -145,13 +145,13 @@
 
 
 @async_test
-async def test_client_that_accepts_nothing_is_disconnected_also_while_its_connection_is_closing() -> None:
-    """Guards against connections that stay open for ever behind an idle close, which waits for the output."""
+async def test_client_that_accepts_nothing_is_disconnected_also_while_its_connection_is_idle() -> None:
+    """Guards against connections that stay open for ever because their output waits."""
     async with slow_client(serve_buffered_responses, request_count=8) as client:
         while client.connection.pipeline.queue:
             await asyncio.sleep(SCAN_SECONDS)
         await client.pass_time(3.0)
-        assert not client.connection.transport.is_open  # closed as idle
-        assert client.is_connected()  # the output waits
+        assert client.connection.transport.is_open  # not closed as idle: the output waits
+        assert client.is_connected()
         await client.pass_time(BODY_STALL_TIMEOUT_SECONDS + 1)
         assert not client.is_connected()
