Protect waiting input from an eviction only where it holds a request

Change: what is owed is a request. An eviction asks whether the input that waits completes the request that is being received, by the parser's own decoder, or begins one. Timeouts also excuse input that is unread behind a stall or a pause.

--- a/quota_gateway/net/client/connection.py
+++ b/quota_gateway/net/client/connection.py
@@ -144,14 +144,13 @@
 
     @property
     def is_evictable(self) -> bool:
-        """Whether nothing is owed on a connection that has a rank: no output and no input waits.
+        """Whether nothing is owed on a connection that has a rank: no output, and no request that was sent.
 
-        Input may complete a request. Once a connection is half-closed, its input is discarded.
+        Once a connection is half-closed, its input is discarded.
         """
-        transport = self.transport
-        if transport.has_undelivered_output:
+        if self.transport.has_undelivered_output:
             return False
-        return not transport.is_open or not (self.pipeline.has_backlog or transport.has_unread_input)
+        return not self.transport.is_open or not self.pipeline.has_request_in_input()
 
     def evict(self) -> bool:
         """Close or reset the connection if nothing is owed on it; return whether that was done."""
--- a/quota_gateway/net/client/head_parser.py
+++ b/quota_gateway/net/client/head_parser.py
@@ -77,6 +77,10 @@
         self._last_bytes = recent[-len(HEAD_END) + 1 :]
         return end
 
+    def is_ended_by(self, data: bytes) -> bool:
+        """Whether the head would end within ``data``."""
+        return HEAD_END in self._last_bytes + data
+
     def _possible_end(self, data: bytes, start: int) -> int:
         """Return the first offset at which the head may end; the end of the data if there is none."""
         seen = len(self._last_bytes)
--- a/quota_gateway/net/client/request_pipeline.py
+++ b/quota_gateway/net/client/request_pipeline.py
@@ -50,8 +50,10 @@
         "_closer",
         "_intake",
         "_is_scheduled",
+        "_last_read_at",
         "_memory",
         "_paused_at",
+        "_resumed_at",
         "_transport",
         "_upload_monitor",
         "liveness",
@@ -69,6 +71,8 @@
         self._intake = intake
         self._upload_monitor: UploadMonitor | None = None  # of the upload that is being received, if any
         self._backlog = InputBacklog()
+        self._last_read_at = 0.0
+        self._resumed_at = 0.0  # when reading was last resumed
         self._paused_at = 0.0  # when reading was last paused, by the clock of the clients
         self._is_scheduled = False  # whether the connection waits for its turn to parse the backlog
         self._memory = MemoryUsage(shared.budget)
@@ -113,6 +117,7 @@
             self._paused_at = now
         else:
             self.reader.exclude_pause(now, now - self._paused_at)
+            self._resumed_at = self.shared.clock()
 
     def _is_blocked(self) -> bool:
         """Whether no input is parsed for now.
@@ -147,7 +152,8 @@
         if self.reader.is_stopped and not self._backlog:
             self._discard(len(data))
             return
-        self.shared.stalls.record_iteration(self.shared.clock())
+        self._last_read_at = self.shared.clock()
+        self.shared.stalls.record_iteration(self._last_read_at)
         self._backlog.append(data)
         burst_end = self.shared.input_scheduler.burst_end()
         if burst_end is not None:
@@ -267,6 +273,25 @@
         """Whether the client has sent something that has not been parsed."""
         return bool(self._backlog) or self._transport.has_unread_input
 
+    def has_request_in_input(self) -> bool:
+        """Whether the input that waits completes the request that is being received, or begins one."""
+        if not self._backlog and not self._transport.has_unread_input:
+            return False
+        if not self.reader.in_request:
+            return True
+        return self.reader.is_completed_by(UnparsedInput(self._transport, self._backlog))
+
+    def _may_have_missed_input(self) -> bool:
+        """Whether input arrived while this process did not read, and is unread."""
+        if not self._transport.has_unread_input:
+            return False
+        has_paused = self._resumed_at >= self._last_read_at
+        return has_paused or self.shared.stalls.has_stalled_since(self._last_read_at)
+
+    def _is_client_excused(self) -> bool:
+        """Whether a client that seems to be too slow may have sent what is missing."""
+        return self._may_have_missed_input() or self.has_request_in_input()
+
     # Responses.
 
     def write_responses(self) -> None:
@@ -328,13 +353,13 @@
     def check_timeouts(self, now: float) -> None:
         """Respond to a client that sends too slowly; notice the disconnect of one whose input is not read.
 
-        Only a client whose input has been read can be too slow.
+        A client whose input has not been read is not too slow.
         """
         client_now = self.shared.stalls.without_stalls(now)
         if self.reader.body.upload is not None:
             self._check_upload(now, client_now)
         elif self.reader.in_request and not self._transport.reading_paused:
-            if self.reader.is_overdue(client_now) and not self._transport.has_unread_input:
+            if self.reader.is_overdue(client_now) and not self._is_client_excused():
                 self.reject(408)  # also while earlier requests wait for their responses
         elif self.queue and self._transport.reading_paused and not self.liveness.input_ended:
             self.liveness.poll()
@@ -345,5 +370,5 @@
             if self._upload_monitor is not None and self._transport.is_open:
                 self._upload_monitor.check_unread(now)
         elif self._transport.is_open and self.reader.body.is_upload_stalled(client_now):
-            if not self._transport.has_unread_input:
+            if not self._is_client_excused():
                 self._intake.time_out_upload(self.queue[-1])
--- a/quota_gateway/net/client/request_reader.py
+++ b/quota_gateway/net/client/request_reader.py
@@ -9,17 +9,20 @@
 
 import httptools
 
-from quota_gateway.net.client.head_parser import HeadParser
+from quota_gateway.net.client.head_parser import HEAD_END, HeadParser
+from quota_gateway.net.client.input_backlog import InputSocket
 from quota_gateway.net.client.request_body import RequestBody, UploadObserver
 from quota_gateway.net.client.request_head import RequestHead
 from quota_gateway.net.client.request_parser import BadRequestError
+from quota_gateway.net.client.unread_upload import UnreadUpload
 from quota_gateway.net.common.body_framing import BodyDecoder, FramingError, LengthDecoder
 from quota_gateway.net.common.body_stream import BodyStream
-from quota_gateway.net.common.http_common import MAX_BUFFERED_BODY_BYTES
+from quota_gateway.net.common.http_common import MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES
 from quota_gateway.net.common.memory_budget import MemoryBudget
 
 log = logging.getLogger(__name__)
 
+SHORT_INPUT_BYTES = 64
 STATUS_BAD_REQUEST = 400
 STATUS_INTERNAL_ERROR = 500
 HEAD_TIMEOUT_SECONDS = 2.5  # a slow client needs 2 s for a head, and a faulty one must be answered within 3 s
@@ -141,6 +144,18 @@
             return head_timeout_passed
         return self.body.is_overdue(now, head_timeout_passed=head_timeout_passed)
 
+    def is_completed_by(self, unparsed: InputSocket) -> bool:
+        """Whether the input that waits ends the head or the body that is being received."""
+        data = unparsed.peek_input(MAX_HEAD_BYTES)
+        if self.phase is _HEAD:
+            return self._head_parser.is_ended_by(data)
+        rest = UnreadUpload(unparsed, self.body_decoder)
+        # A look takes time, and is repeated: mostly it need not be taken.
+        may_hold_end = HEAD_END in data or len(data) <= SHORT_INPUT_BYTES
+        if may_hold_end and rest.has_unexamined_input():
+            rest.look_ahead()
+        return rest.has_end()
+
     def exclude_pause(self, now: float, seconds: float) -> None:
         """Do not count the last ``seconds``, in which no input was read, for the timeouts."""
         self._started_at = min(now, self._started_at + seconds)
--- a/quota_gateway/net/client/stall_detector.py
+++ b/quota_gateway/net/client/stall_detector.py
@@ -54,6 +54,10 @@
         self._previous_iteration_at = self._last_iteration_at
         self._last_iteration_at = now
 
+    def has_stalled_since(self, at: float) -> bool:
+        """Whether the process stood still at ``at`` or later."""
+        return self._stall_ended_at > at
+
     def without_stalls(self, now: float) -> float:
         """Return ``now`` less the time in which the process stood still.
 
