Let a new client in for an idle one although another's output is undelivered

Cause (found by reading): while a connection with a partial request could not be evicted, new ones waited in the accept queue, for up to 30 s if its output was not delivered, although idle connections could be closed for them. Change: they wait for new connections, and for requests that wait to be parsed if no idle connection can be closed.

--- a/quota_gateway/net/client/connection.py
+++ b/quota_gateway/net/client/connection.py
@@ -148,9 +148,12 @@
 
         Once a connection is half-closed, its input is discarded.
         """
-        if self.transport.has_undelivered_output:
-            return False
-        return not self.transport.is_open or not self.pipeline.has_request_in_input()
+        return not self.transport.has_undelivered_output and not self.has_waiting_request
+
+    @property
+    def has_waiting_request(self) -> bool:
+        """Whether a request that was sent has not been parsed."""
+        return self.transport.is_open and self.pipeline.has_request_in_input()
 
     def evict(self) -> bool:
         """Close or reset the connection if nothing is owed on it; return whether that was done."""
--- a/quota_gateway/net/client/eviction.py
+++ b/quota_gateway/net/client/eviction.py
@@ -29,14 +29,7 @@
     EvictionPriority.NEVER_SENT_DATA,
     EvictionPriority.PARTIAL_REQUEST,
 )
-# While there are such connections, others wait in the accept queue: these soon have an open request, or can
-# be evicted. One that lingers may take long to deliver its response.
-WAITED_FOR = (
-    EvictionPriority.NEVER_SENT_DATA,
-    EvictionPriority.PARTIAL_REQUEST,
-    EvictionPriority.NEW_PARTIAL_REQUEST,
-    EvictionPriority.NEW_WITHOUT_DATA,
-)
+NEW_PRIORITIES = (EvictionPriority.NEW_PARTIAL_REQUEST, EvictionPriority.NEW_WITHOUT_DATA)
 
 
 class EvictionRank(NamedTuple):
--- a/quota_gateway/net/client/listener.py
+++ b/quota_gateway/net/client/listener.py
@@ -9,7 +9,7 @@
 
 from quota_gateway import model
 from quota_gateway.net.client.connection import ClientConnection
-from quota_gateway.net.client.eviction import EVICTED_FIRST, WAITED_FOR, EvictionRank
+from quota_gateway.net.client.eviction import EVICTED_FIRST, NEW_PRIORITIES, EvictionPriority, EvictionRank
 from quota_gateway.net.client.request import RequestHandler
 from quota_gateway.net.client.request_intake import RequestIntake
 from quota_gateway.net.client.shared_state import SharedState
@@ -110,21 +110,26 @@
             self._all_closed.set()
 
     def _may_accept(self) -> bool:
-        """Whether there is room for a connection, without evicting one that is new or has unread input.
+        """Whether there is room for a connection, without evicting one that is new.
+
+        It also waits if requests are about to be parsed, and there is no idle connection to evict instead.
 
         If none can be evicted at all, the connection is accepted and aborted.
         """
         if len(self.connections) < self._max_connections:
             return True
-        may_wait = False  # for a connection that can probably be evicted soon
+        has_new = has_waiting_request = has_idle = False
         for connection in self.connections:  # oldest first, so that the first ones are mostly not new
             rank = connection.eviction_rank()
             if rank is None:
                 continue
-            if rank.priority in EVICTED_FIRST and connection.is_evictable:
-                return True
-            may_wait = may_wait or rank.priority in WAITED_FOR
-        return not may_wait
+            if rank.priority in EVICTED_FIRST:
+                if connection.is_evictable:
+                    return True
+                has_waiting_request = has_waiting_request or connection.has_waiting_request
+            has_new = has_new or rank.priority in NEW_PRIORITIES
+            has_idle = has_idle or rank.priority is EvictionPriority.IDLE
+        return not has_new and (has_idle or not has_waiting_request)
 
     def _evict_one(self) -> bool:
         return any(connection.evict() for _, connection in self._eviction_candidates())
--- a/tests/test_undelivered_output.py
+++ b/tests/test_undelivered_output.py
@@ -216,6 +216,27 @@
         writer.close()
 
 
+@pytest.mark.parametrize("other_sends", [b"", b"GET /lookup"])
+@async_test
+async def test_new_client_is_accepted_although_the_output_of_another_one_is_not_delivered(
+    other_sends: bytes,
+) -> None:
+    async with slow_client(WAITS_IN_SYSTEM, closes=False) as client:
+        client.socket.send(other_sends)
+        idle, idle_writer = await client.limiter.connect()
+        idle_writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+        await read_message(idle)
+        await asyncio.sleep(2 * NEW_SECONDS)
+        client.limiter.listener.set_max_connections(2)
+        reader, writer = await client.limiter.connect()
+        writer.write(b"GET /healthz HTTP/1.1\r\n\r\n")
+        assert " 200 " in (await read_message(reader))[0]
+        assert await idle.read() == b""
+        assert await client.read_bodies(BODY_BYTES) == BODY_BYTES
+        writer.close()
+        idle_writer.close()
+
+
 def test_time_of_clients_passes_only_while_the_process_runs() -> None:
     stalls = StallDetector(100.0)
     for now in (100.1, 100.2, 105.2, 105.3, 106.3):
